--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,129 @@
+//! One queue for all calls to an outside system, within its limits.
+
+use std::collections::VecDeque;
+
+use crate::protocol::units::Micros;
+
+/// Which calls go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Leases, leadership and grants.
+    Entitlement,
+    Withdrawal,
+    Acceptance,
+    Completion,
+    /// Everything else.
+    Rest,
+}
+
+const CLASSES: usize = 5;
+
+/// Allowance that refills at a steady rate, in thousandths of a call.
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    most: f64,
+    has: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    fn new(rate: f64, burst_s: f64) -> Self {
+        let most = (rate * burst_s).max(1.0);
+        Bucket { rate, most, has: most, at: Micros::ZERO }
+    }
+
+    fn refill(&mut self, now: Micros) {
+        self.has = (self.has + self.rate * now.since(self.at).as_secs_f64()).min(self.most);
+        self.at = self.at.max(now);
+    }
+
+    /// Whether `cost` may be spent. More than the bucket ever holds goes out when it is full.
+    fn affords(&self, cost: f64) -> bool {
+        self.has >= cost.min(self.most) - 1e-9
+    }
+}
+
+/// A queue by urgency under a limit of calls and a limit of changes.
+#[derive(Debug)]
+pub struct Budget<T> {
+    calls: Bucket,
+    writes: Bucket,
+    queues: [VecDeque<(Micros, u32, T)>; CLASSES],
+}
+
+impl<T> Budget<T> {
+    pub fn new(calls_per_s: f64, writes_per_s: f64, burst_s: f64) -> Self {
+        Budget {
+            calls: Bucket::new(calls_per_s, burst_s),
+            writes: Bucket::new(writes_per_s, burst_s),
+            queues: Default::default(),
+        }
+    }
+
+    pub fn push(&mut self, now: Micros, urgency: Urgency, writes: u32, call: T) {
+        self.queues[urgency as usize].push_back((now, writes, call));
+    }
+
+    /// The next call that may go out now. A call that must wait holds back all less urgent ones.
+    pub fn pop(&mut self, now: Micros) -> Option<T> {
+        self.calls.refill(now);
+        self.writes.refill(now);
+        for queue in &mut self.queues {
+            let Some((_, writes, _)) = queue.front() else { continue };
+            let cost = f64::from(*writes);
+            if !self.calls.affords(1.0) || !self.writes.affords(cost) {
+                return None;
+            }
+            self.calls.has -= 1.0;
+            self.writes.has -= cost;
+            return queue.pop_front().map(|(_, _, call)| call);
+        }
+        None
+    }
+
+    /// Takes out the calls that have waited longer than `patience`.
+    pub fn expire(&mut self, now: Micros, patience: Micros) -> Vec<T> {
+        let mut late = Vec::new();
+        for queue in &mut self.queues {
+            while queue.front().is_some_and(|(at, _, _)| now.since(*at) > patience) {
+                late.extend(queue.pop_front().map(|(_, _, call)| call));
+            }
+        }
+        late
+    }
+
+    /// How many calls at least this urgent wait.
+    pub fn waiting(&self, urgency: Urgency) -> usize {
+        self.queues[..=urgency as usize].iter().map(VecDeque::len).sum()
+    }
+
+    pub fn clear(&mut self) -> Vec<T> {
+        self.queues.iter_mut().flat_map(|q| q.drain(..)).map(|(_, _, call)| call).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against overrunning the state service, which would refuse lease renewals too.
+    #[test]
+    fn calls_stay_within_both_limits_and_urgent_ones_go_first() {
+        let mut budget = Budget::new(10.0, 4.0, 1.0);
+        for i in 0..200u32 {
+            let urgency = if i % 50 == 0 { Urgency::Entitlement } else { Urgency::Rest };
+            budget.push(Micros::ZERO, urgency, i % 2, i);
+        }
+        let mut out = Vec::new();
+        for ms in (0..10_000).step_by(50) {
+            while let Some(i) = budget.pop(Micros::from_millis(ms)) {
+                out.push(i);
+            }
+        }
+        assert_eq!(out[..4], [0, 50, 100, 150]);
+        assert!((80..=110).contains(&out.len()), "{} calls in 10 s", out.len());
+        assert!(out.iter().filter(|i| *i % 2 == 1).count() <= 44);
+        assert_eq!(budget.expire(Micros::from_secs(20), Micros::from_secs(5)).len(), 200 - out.len());
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/client.rs
@@ -0,0 +1,93 @@
+//! The state service over HTTP.
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::protocol::store::{StoreCall, StoreReply};
+use crate::protocol::units::Micros;
+use crate::transport::client::{HttpClient, HttpReply};
+
+/// How long an ordinary call may take; the service answers in milliseconds, now and then in hundreds.
+const PATIENCE: Micros = Micros::from_millis(1_500);
+
+#[derive(Deserialize)]
+struct Revision {
+    #[serde(rename = "Epoch")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    #[serde(rename = "Permit")]
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    failed: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Found {
+    #[serde(rename = "Value")]
+    value: Value,
+    #[serde(rename = "Stamp")]
+    stamp: u64,
+}
+
+fn decode<T: for<'a> Deserialize<'a>>(reply: &HttpReply, into: impl FnOnce(T) -> StoreReply) -> StoreReply {
+    serde_json::from_slice(&reply.body).map(into).unwrap_or(StoreReply::Unclear)
+}
+
+/// Makes one call and says what came of it.
+pub async fn call(http: &HttpClient, call: StoreCall) -> StoreReply {
+    let follow = matches!(call, StoreCall::Follow { .. });
+    let mut patience = PATIENCE;
+    let (method, path, body) = match &call {
+        StoreCall::Get { key } => ("GET", format!("/keys/{key}"), None),
+        StoreCall::List { prefix, after } => {
+            let from = if after.is_empty() { String::new() } else { format!("&After={after}") };
+            ("GET", format!("/keys?Starts={prefix}{from}&Most=500"), None)
+        }
+        StoreCall::Commit(transaction) => {
+            ("POST", "/commit".to_owned(), serde_json::to_value(transaction).ok())
+        }
+        StoreCall::Lease { life_ms } => ("POST", "/leases".to_owned(), Some(json!({ "LifeMs": life_ms }))),
+        StoreCall::Renew { lease } => ("POST", format!("/leases/{lease}/renew"), Some(json!({}))),
+        StoreCall::Release { lease } => ("DELETE", format!("/leases/{lease}"), None),
+        StoreCall::Follow { prefix, after, hold_ms } => {
+            patience = Micros::from_millis(hold_ms + 1_500);
+            ("GET", format!("/follow?Starts={prefix}&After={after}&HoldMs={hold_ms}"), None)
+        }
+    };
+    let body = body.map(|b| b.to_string());
+    let Ok(reply) = http.request(method, &path, body, patience).await else {
+        return StoreReply::Unclear;
+    };
+    match (reply.status, &call) {
+        (200, StoreCall::Get { .. }) => {
+            decode(&reply, |f: Found| StoreReply::Found { value: f.value, stamp: f.stamp })
+        }
+        (200, StoreCall::List { .. }) => decode(&reply, StoreReply::Page),
+        (200, StoreCall::Commit(_)) => {
+            decode(&reply, |r: Revision| StoreReply::Committed { revision: r.revision })
+        }
+        (200, StoreCall::Lease { .. }) => decode(&reply, |l: Lease| StoreReply::Leased { lease: l.lease }),
+        (200 | 204, StoreCall::Renew { .. } | StoreCall::Release { .. }) => StoreReply::Renewed,
+        (200, StoreCall::Follow { .. }) => decode(&reply, StoreReply::News),
+        (404, _) => StoreReply::Missing,
+        (409, _) => decode(&reply, |f: Failed| StoreReply::Conflict { failed: f.failed }),
+        (410, _) if follow => StoreReply::TooOld,
+        (400, StoreCall::Commit(_)) if contains(&reply.body, b"no such lease") => StoreReply::NoLease,
+        (400, _) => {
+            tracing::error!(?call, body = %String::from_utf8_lossy(&reply.body), "the state service finds a call malformed");
+            StoreReply::Refused
+        }
+        (429 | 503, _) => StoreReply::Refused,
+        _ => StoreReply::Unclear,
+    }
+}
+
+fn contains(body: &[u8], text: &[u8]) -> bool {
+    body.windows(text.len()).any(|w| w == text)
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,6 @@
+//! Records in the state service, and the budgets of calls to it and to the cloud.
+
+pub mod budget;
+pub mod cache;
+pub mod client;
+pub mod records;
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,585 @@
+//! The fleet: what the leader rents and returns.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::bookkeeping::budget::Urgency;
+use crate::bookkeeping::records::{self, BlockRow};
+use crate::coordination::model::Machine;
+use crate::coordination::{CloudPurpose, Controller, Purpose};
+use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
+use crate::protocol::job::JobSpec;
+use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::{Micros, Resources};
+
+/// The most machines one request asks for.
+const MOST_RENTED: u64 = 50;
+/// How much waiting work, in seconds of a machine's time, is worth renting one more.
+const WORTH: f64 = 45.0;
+/// How often the machine types and prices are read again.
+const TYPES_EVERY: Micros = Micros::from_secs(60);
+
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub listing: bool,
+    pub listed_at: Micros,
+    /// Refused type, zone and kind: until when, and how often in a row.
+    pub refused: BTreeMap<(String, String, bool), (Micros, u32)>,
+    /// Rentals on their way, by request name.
+    pub open: BTreeMap<String, Rental>,
+    pub named: u64,
+    /// Machines named by the cloud for a rental, waiting to be recorded.
+    pub arrived: Vec<BlockRow>,
+    pub closing: BTreeSet<String>,
+    pub returning: BTreeSet<String>,
+    /// Machines whose return the cloud has confirmed: when.
+    pub returned: BTreeMap<String, Micros>,
+    pub failed: BTreeSet<String>,
+    pub rented_at: Micros,
+}
+
+impl Controller {
+    /// Every controller reads the machine types: submissions are checked against them.
+    pub(super) fn types_tick(&mut self) {
+        let due = match self.types_at {
+            None => true,
+            Some(at) => {
+                self.now.since(at) >= if self.types.is_empty() { Micros::from_secs(1) } else { TYPES_EVERY }
+            }
+        };
+        if due {
+            self.types_at = Some(self.now);
+            self.cloud(Urgency::Acceptance, CloudPurpose::Types, CloudCall::Types);
+        }
+    }
+
+    /// Repeats rentals that a former leader stored: the same name rents nothing twice.
+    pub(super) fn resume_rentals(&mut self) {
+        let open: Vec<Rental> = self.rentals.values().map(|r| r.0.clone()).collect();
+        for rental in open {
+            self.call_rental(rental);
+        }
+    }
+
+    fn call_rental(&mut self, rental: Rental) {
+        if let Some(lead) = &mut self.lead {
+            lead.fleet.open.insert(rental.request.clone(), rental.clone());
+        }
+        self.cloud(Urgency::Acceptance, CloudPurpose::Rent(rental.clone()), CloudCall::Rent(rental));
+    }
+
+    /// A machine reports that no block names: it is to be used or returned.
+    pub(super) fn stray(&mut self, machine: String, kind: String, zone: String, spot: bool) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.fleet.returned.contains_key(&machine) || !self.types.contains_key(&kind) {
+            return;
+        }
+        let row = BlockRow {
+            machine: machine.clone(),
+            kind,
+            zone,
+            spot,
+            owner: String::new(),
+            node: 0,
+            returning: false,
+            token: 0,
+        };
+        let held = self.machines.get(&machine).is_some_and(|m| !m.unused());
+        if !held && lead.strays.insert(machine, (row, now)).is_none() {
+            self.soon_round();
+        }
+    }
+
+    /// A machine that is on its way up, or up and not yet granted.
+    pub(super) fn coming(&self, machine: &Machine) -> bool {
+        machine.unused() && !machine.row.returning
+    }
+
+    pub(super) fn fleet_tick(&mut self) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        lead.strays.retain(|_, (_, at)| now.since(*at) < Micros::from_secs(10));
+        lead.fleet.returned.retain(|_, at| now.since(*at) < Micros::from_secs(120));
+        let machines = &self.machines;
+        lead.strays.retain(|name, _| machines.get(name).is_none_or(Machine::unused));
+        if !lead.fleet.listing && now.since(lead.fleet.listed_at) >= Micros::from_secs(5) {
+            lead.fleet.listing = true;
+            lead.fleet.listed_at = now;
+            self.cloud(Urgency::Rest, CloudPurpose::List, CloudCall::List { after: String::new() });
+        }
+        self.record_arrivals();
+        self.drop_unwanted();
+    }
+
+    /// Rented machines enter the records, held by nobody until they report.
+    fn record_arrivals(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        if lead.granting {
+            return;
+        }
+        let known = &self.machines;
+        lead.fleet.arrived.retain(|r| !known.contains_key(&r.machine));
+        let rows = lead.fleet.arrived.clone();
+        if !rows.is_empty() {
+            self.grant(BTreeMap::new(), rows, BTreeSet::new(), None);
+            return;
+        }
+        // Once its machines are recorded, the rental itself need not be.
+        if let Some(request) = lead.fleet.closing.pop_first() {
+            let transaction = Transaction {
+                conditions: vec![self.entitlement()],
+                writes: vec![Write::delete(records::rental(&request))],
+            };
+            self.store(
+                Urgency::Completion,
+                Purpose::RentalClosed { request },
+                StoreCall::Commit(transaction),
+            );
+        }
+    }
+
+    /// Why a machine should be returned, if so.
+    fn unwanted(&self, name: &str, m: &Machine, idle_most: Micros) -> Option<&'static str> {
+        let boot = self.types.get(&m.row.kind).map_or(60.0, |t| t.boot_s);
+        let lease_s = self.worker_lease.as_secs_f64() as u32;
+        let failed = self.lead.as_ref().is_some_and(|l| l.fleet.failed.contains(name));
+        if failed {
+            Some("failed")
+        } else if m.unused() && self.now.since(m.since).as_secs_f64() > boot * 2.2 + 10.0 {
+            Some("slow to boot")
+        } else if m.apart {
+            Some("faulty")
+        } else if !m.unused() && m.resolved && m.dark_s > lease_s + 25 {
+            Some("silent")
+        } else if !m.unused()
+            && m.up
+            && m.resolved
+            && m.idle()
+            && !m.notice
+            && self.now.since(m.idle_since) > idle_most
+        {
+            Some("idle")
+        } else {
+            None
+        }
+    }
+
+    fn drop_unwanted(&mut self) {
+        let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s);
+        let mut idle_names = Vec::new();
+        let mut names = Vec::new();
+        let Some(lead) = &self.lead else { return };
+        if lead.granting || self.now.since(lead.since) < Micros::from_secs(4) {
+            return;
+        }
+        for (name, m) in &self.machines {
+            if m.row.returning {
+                continue;
+            }
+            match self.unwanted(name, m, idle_most) {
+                Some("idle") => idle_names.push(name.clone()),
+                Some(why) => names.push((name.clone(), why)),
+                None => {}
+            }
+        }
+        let spare = self.not_needed(idle_names);
+        names.extend(spare.into_iter().map(|n| (n, "idle")));
+        if !names.is_empty() {
+            for (name, why) in &names {
+                tracing::info!(machine = name, why, "returning");
+            }
+            let moves = names.into_iter().map(|(n, _)| (n, String::new())).collect();
+            self.grant(moves, Vec::new(), BTreeSet::new(), None);
+            return;
+        }
+        // What is marked in the records is returned, and leaves the records once the cloud says so.
+        let marked: Vec<String> =
+            self.machines.iter().filter(|(_, m)| m.row.returning).map(|(n, _)| n.clone()).collect();
+        let Some(lead) = &mut self.lead else { return };
+        let gone: BTreeSet<String> =
+            marked.iter().filter(|n| lead.fleet.returned.contains_key(*n)).cloned().collect();
+        let ask: Vec<String> = marked
+            .into_iter()
+            .filter(|n| !gone.contains(n) && !lead.fleet.returning.contains(n))
+            .take(100)
+            .collect();
+        if !ask.is_empty() {
+            lead.fleet.returning.extend(ask.iter().cloned());
+            self.counters.returns += ask.len() as u64;
+            self.cloud(Urgency::Withdrawal, CloudPurpose::Return(ask.clone()), CloudCall::Return(ask));
+        }
+        if !gone.is_empty() {
+            self.grant(BTreeMap::new(), Vec::new(), gone, None);
+        }
+    }
+
+    /// Of idle machines, those that neither a guarantee nor a class that must start at once needs.
+    fn not_needed(&self, idle: Vec<String>) -> Vec<String> {
+        let (cpu, gpu) = self.guaranteed();
+        let mut has = self.standing_supply();
+        let mut spares = self.spares_wanted();
+        let mut names = Vec::new();
+        for name in idle {
+            let m = &self.machines[&name];
+            if let Some(spare) =
+                spares.iter_mut().find(|(spec, n)| *n > 0 && super::placement::allows(spec, m))
+            {
+                spare.1 = spare.1.saturating_sub(spare.0.need().times_in(m.supply));
+                continue;
+            }
+            let less = has.minus(m.supply);
+            let short = (cpu > 0 && m.supply.gpu == 0 && less.cpu < cpu)
+                || (gpu > 0 && m.supply.gpu > 0 && less.gpu < gpu);
+            if !short || m.row.spot {
+                has = less;
+                names.push(name);
+            }
+        }
+        names
+    }
+
+    /// What all teams together are guaranteed.
+    fn guaranteed(&self) -> (u64, u64) {
+        let teams = &self.settings.params.teams;
+        let sum = |f: fn(&crate::settings::Team) -> f64| (teams.iter().map(f).sum::<f64>() * 1e3) as u64;
+        (sum(|t| t.cpus), sum(|t| t.gpus))
+    }
+
+    /// Ordinary machines, up or coming: what a guarantee can be met with.
+    fn standing_supply(&self) -> Resources {
+        let stay = self.machines.values().filter(|m| !m.row.spot && !m.row.returning && !m.apart);
+        stay.fold(Resources::default(), |sum, m| sum.plus(m.supply))
+    }
+
+    /// Room to keep for classes that must start sooner than any machine boots.
+    fn spares_wanted(&self) -> Vec<(JobSpec, u64)> {
+        let quickest = self.types.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let urgent = self.settings.params.objectives.iter().filter(|o| {
+            o.kind == "wait" && o.within_s.is_some_and(|w| w < quickest) && o.share.is_some_and(|s| s > 0.5)
+        });
+        let classes: BTreeSet<&String> = urgent.filter_map(|o| o.class.as_ref()).collect();
+        classes
+            .iter()
+            .filter_map(|class| {
+                let job = self.jobs.values().filter(|j| j.spec.class == **class).max_by_key(|j| j.stamp)?;
+                Some((job.spec.clone(), u64::from(job.spec.floor())))
+            })
+            .collect()
+    }
+
+    /// Decides what to rent for the work that found no room.
+    pub(super) fn size_fleet(&mut self) {
+        let now = self.now;
+        let Some(lead) = &self.lead else { return };
+        if self.types.is_empty() || lead.granting || !lead.fleet.arrived.is_empty() {
+            return;
+        }
+        // A new leader first hears what there is.
+        if now.since(lead.since) < Micros::from_secs(4)
+            || now.since(lead.fleet.rented_at) < Micros::from_millis(500)
+        {
+            return;
+        }
+        let mut coming: Vec<(String, String, bool, Resources)> = self
+            .machines
+            .values()
+            .filter(|m| self.coming(m))
+            .map(|m| (m.row.kind.clone(), m.row.zone.clone(), m.row.spot, m.supply))
+            .collect();
+        for r in lead.fleet.open.values() {
+            let supply = self.types.get(&r.kind).map(MachineType::supply).unwrap_or_default();
+            coming.extend((0..r.count).map(|_| (r.kind.clone(), r.zone.clone(), r.spot, supply)));
+        }
+        let mut wanted: BTreeMap<(String, String, bool), f64> = BTreeMap::new();
+        let unplaced = lead.unplaced.clone();
+        for u in unplaced {
+            let Some(job) = self.jobs.get(&u.job) else { continue };
+            let spec = job.spec.clone();
+            self.want_for(
+                &spec,
+                u.count.max(u64::from(job.unfinished().saturating_sub(job.on.len() as u32))),
+                &mut coming,
+                &mut wanted,
+            );
+        }
+        // Jobs that were not admitted wait for machines too.
+        for job in self
+            .jobs
+            .values()
+            .filter(|j| j.volume == 0 && j.on.is_empty() && j.unfinished() > 0 && j.held_until <= now)
+        {
+            let spec = job.spec.clone();
+            self.want_for(&spec, u64::from(job.unfinished()), &mut coming, &mut wanted);
+        }
+        self.want_guarantee(&coming, &mut wanted);
+        let mut asked = false;
+        for ((kind, zone, spot), machines) in wanted {
+            let count = (machines.ceil() as u64).clamp(1, MOST_RENTED) as u32;
+            asked |= self.rent(kind, zone, spot, count);
+        }
+        if asked && let Some(lead) = &mut self.lead {
+            lead.fleet.rented_at = now;
+        }
+    }
+
+    fn refused(&self, key: &(String, String, bool)) -> bool {
+        self.lead.as_ref().and_then(|l| l.fleet.refused.get(key)).is_some_and(|(until, _)| *until > self.now)
+    }
+
+    /// Places of a job's tasks on machines that are coming; the rest is to be rented.
+    fn want_for(
+        &self,
+        spec: &JobSpec,
+        mut count: u64,
+        coming: &mut [(String, String, bool, Resources)],
+        wanted: &mut BTreeMap<(String, String, bool), f64>,
+    ) {
+        let need = spec.need();
+        let type_ok = |kind: &String| spec.types.as_ref().is_none_or(|t| t.contains(kind));
+        let zone_ok = |zone: &String| spec.zone.as_ref().is_none_or(|z| z == zone);
+        for (kind, zone, spot, room) in coming.iter_mut() {
+            if type_ok(kind) && zone_ok(zone) && (spec.spot || !*spot) {
+                let n = need.times_in(*room).min(count);
+                count -= n;
+                *room =
+                    room.minus(Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n });
+            }
+        }
+        if count == 0 {
+            return;
+        }
+        let mut options = Vec::new();
+        for t in self.types.values().filter(|t| type_ok(&t.name) && need.fits(t.supply())) {
+            if spec.gpus == 0.0
+                && t.gpus > 0.0
+                && self.types.values().any(|o| o.gpus == 0.0 && type_ok(&o.name) && need.fits(o.supply()))
+            {
+                continue;
+            }
+            for zone in t.zones.iter().filter(|z| zone_ok(z)) {
+                for spot in [true, false] {
+                    if spot && !spec.spot {
+                        continue;
+                    }
+                    let key = (t.name.clone(), zone.clone(), spot);
+                    if self.refused(&key) {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let slots = need.times_in(t.supply()).max(1);
+                    options.push((price / slots as f64, key, slots));
+                }
+            }
+        }
+        let Some((_, key, slots)) = options.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        // Short tasks take turns: a machine is worth renting for a good stretch of work.
+        let turns =
+            if spec.floor() > 1 || spec.estimate_s <= 0.0 { 1.0 } else { (WORTH / spec.estimate_s).max(1.0) };
+        *wanted.entry(key).or_default() += count as f64 / slots as f64 / turns;
+    }
+
+    /// Machines that the teams' guarantees need: capacity that must be there before work comes.
+    fn want_guarantee(
+        &self,
+        coming: &[(String, String, bool, Resources)],
+        wanted: &mut BTreeMap<(String, String, bool), f64>,
+    ) {
+        let (cpu, gpu) = self.guaranteed();
+        let mut has = self.standing_supply();
+        let open = self.lead.iter().flat_map(|l| l.fleet.open.values()).filter(|r| !r.spot);
+        for r in open {
+            if let Some(t) = self.types.get(&r.kind) {
+                for _ in 0..r.count {
+                    has = has.plus(t.supply());
+                }
+            }
+        }
+        let _ = coming;
+        for accelerated in [false, true] {
+            let (goal, there) = if accelerated { (gpu, has.gpu) } else { (cpu, has.cpu) };
+            if there >= goal {
+                continue;
+            }
+            let amount = |t: &MachineType| if accelerated { t.supply().gpu } else { t.supply().cpu };
+            let best = self
+                .types
+                .values()
+                .filter(|t| (t.gpus > 0.0) == accelerated)
+                .flat_map(|t| t.zones.iter().map(move |z| (t, (t.name.clone(), z.clone(), false))))
+                .filter(|(_, key)| !self.refused(key))
+                .min_by(|a, b| (a.0.price / amount(a.0) as f64).total_cmp(&(b.0.price / amount(b.0) as f64)));
+            if let Some((t, key)) = best {
+                let machines = (goal - there).div_ceil(amount(t).max(1)).min(4) as f64;
+                let entry = wanted.entry(key).or_default();
+                *entry = entry.max(machines);
+            }
+        }
+    }
+
+    /// Stores the rental, then asks for it: a leader that follows can tell what is on its way.
+    fn rent(&mut self, kind: String, zone: String, spot: bool, count: u32) -> bool {
+        let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
+        let Some(lead) = &mut self.lead else { return false };
+        let busy = lead.fleet.open.values().any(|r| r.kind == kind && r.zone == zone && r.spot == spot);
+        if busy {
+            return false;
+        }
+        lead.fleet.named += 1;
+        let request = format!("r-{leader_stamp}-{}", lead.fleet.named);
+        let rental = Rental { request: request.clone(), kind, zone, spot, count };
+        lead.fleet.open.insert(request.clone(), rental.clone());
+        let Ok(value) = serde_json::to_value(&rental) else { return false };
+        let transaction = Transaction {
+            conditions: vec![
+                Condition::new(records::LEADER, leader_stamp),
+                Condition::new(records::rental(&request), 0),
+                self.entitlement(),
+            ],
+            writes: vec![Write::put(records::rental(&request), value)],
+        };
+        self.store(Urgency::Completion, Purpose::RentalStored { rental }, StoreCall::Commit(transaction));
+        true
+    }
+
+    pub(super) fn rental_stored(&mut self, rental: Rental, reply: StoreReply) {
+        match reply {
+            StoreReply::Committed { .. } => self.call_rental(rental),
+            _ => {
+                // The name is used up; if the record is there after all, the next leader repeats it.
+                if let Some(lead) = &mut self.lead {
+                    lead.fleet.open.remove(&rental.request);
+                    lead.fleet.closing.insert(rental.request);
+                }
+            }
+        }
+    }
+
+    pub(super) fn rental_closed(&mut self, request: String, reply: StoreReply) {
+        if let (Some(lead), false) = (&mut self.lead, matches!(reply, StoreReply::Committed { .. })) {
+            lead.fleet.closing.insert(request);
+        }
+    }
+
+    pub(super) fn cloud_replied(&mut self, purpose: CloudPurpose, reply: CloudReply) {
+        if matches!(reply, CloudReply::Unclear) {
+            self.counters.cloud_failures += 1;
+        }
+        match (purpose, reply) {
+            (CloudPurpose::Types, CloudReply::Types(types)) => {
+                self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+                for m in self.machines.values_mut() {
+                    if let Some(t) = self.types.get(&m.row.kind) {
+                        m.supply = t.supply();
+                    }
+                }
+                self.place_due = true;
+            }
+            (CloudPurpose::Types, _) => {}
+            (CloudPurpose::Rent(rental), reply) => self.rent_replied(rental, reply),
+            (CloudPurpose::Return(names), reply) => {
+                let now = self.now;
+                let Some(lead) = &mut self.lead else { return };
+                for name in names {
+                    lead.fleet.returning.remove(&name);
+                    if matches!(reply, CloudReply::Returned) {
+                        lead.fleet.returned.insert(name, now);
+                    }
+                }
+            }
+            (CloudPurpose::List, CloudReply::List(list)) => self.listed(list),
+            (CloudPurpose::List, _) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.fleet.listing = false;
+                }
+            }
+        }
+    }
+
+    fn rent_replied(&mut self, rental: Rental, reply: CloudReply) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let key = (rental.kind.clone(), rental.zone.clone(), rental.spot);
+        match reply {
+            CloudReply::Rented(names) => {
+                tracing::info!(
+                    kind = rental.kind,
+                    zone = rental.zone,
+                    spot = rental.spot,
+                    count = names.len(),
+                    "rented"
+                );
+                self.counters.rentals += names.len() as u64;
+                if (names.len() as u32) < rental.count {
+                    lead.fleet.refused.insert(key, (now + Micros::from_secs(15), 1));
+                } else {
+                    lead.fleet.refused.remove(&key);
+                }
+                let rows = names.into_iter().map(|machine| BlockRow {
+                    machine,
+                    kind: rental.kind.clone(),
+                    zone: rental.zone.clone(),
+                    spot: rental.spot,
+                    owner: String::new(),
+                    node: 0,
+                    returning: false,
+                    token: 0,
+                });
+                lead.fleet.arrived.extend(rows);
+            }
+            CloudReply::NoCapacity => {
+                self.counters.refusals += 1;
+                let (_, times) = lead.fleet.refused.get(&key).copied().unwrap_or((now, 0));
+                let pause = Micros::from_secs((8u64 << times.min(3)).min(40));
+                lead.fleet.refused.insert(key, (now + pause, times + 1));
+            }
+            CloudReply::Rejected => {
+                lead.fleet.refused.insert(key, (now + Micros::from_secs(300), 1));
+            }
+            _ => {
+                // It may have been carried out: the same name tells.
+                let again = lead.fleet.open.contains_key(&rental.request);
+                if again {
+                    self.cloud(Urgency::Rest, CloudPurpose::Rent(rental.clone()), CloudCall::Rent(rental));
+                }
+                return;
+            }
+        }
+        lead.fleet.open.remove(&rental.request);
+        lead.fleet.closing.insert(rental.request);
+    }
+
+    /// The list lags, so it proves only what it shows: machines to record, and failures.
+    fn listed(&mut self, list: MachineList) {
+        let now = self.now;
+        let lag = Micros::from_secs_f64(self.settings.params.cloud.list_lag_s * 2.0 + 5.0);
+        let last = list.machines.last().map(|m| m.id.clone());
+        let Some(lead) = &mut self.lead else { return };
+        for m in list.machines {
+            if m.state == ListedState::Failed {
+                lead.fleet.failed.insert(m.id.clone());
+            }
+            let known = self.machines.contains_key(&m.id) || lead.fleet.returned.contains_key(&m.id);
+            // One just rented is recorded when its rental is answered; others turned up late.
+            let settled = Micros::from_secs_f64(m.age_s) > lag || lead.fleet.open.is_empty();
+            if !known && settled && !lead.fleet.arrived.iter().any(|r| r.machine == m.id) {
+                lead.fleet.arrived.push(BlockRow {
+                    machine: m.id,
+                    kind: m.kind,
+                    zone: m.zone,
+                    spot: m.spot,
+                    owner: String::new(),
+                    node: 0,
+                    returning: false,
+                    token: 0,
+                });
+            }
+        }
+        match last {
+            Some(after) if list.more => {
+                self.cloud(Urgency::Rest, CloudPurpose::List, CloudCall::List { after })
+            }
+            _ => lead.fleet.listing = false,
+        }
+        let _ = now;
+    }
+}
--- /dev/null
+++ b/src/coordination/intake.rs
@@ -0,0 +1,235 @@
+//! Users' requests. Any controller serves them: the state service decides, not the one asked.
+
+use crate::bookkeeping::budget::Urgency;
+use crate::bookkeeping::records::{self, FinalRecord};
+use crate::coordination::{Answer, Controller, Phase, Purpose, RequestId};
+use crate::protocol::job::{Final, JobSpec, JobState};
+use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::worker::TaskState;
+
+/// Requests that may wait for the state service before further ones are sent away.
+const MOST_WAITING: usize = 40;
+
+impl Controller {
+    /// Whether a request that needs the state service is worth making.
+    fn open_for_requests(&self) -> bool {
+        self.entitled() && self.calls.waiting(Urgency::Rest) < MOST_WAITING
+    }
+
+    pub(super) fn submitted(&mut self, request: RequestId, spec: Box<JobSpec>) {
+        if let Some((state, tasks)) = self.finals.get(&spec.id) {
+            return self.answer(request, final_answer(&spec.id, state, tasks));
+        }
+        if !self.open_for_requests() || self.types.is_empty() {
+            return self.answer(request, Answer::Later(2));
+        }
+        if self.jobs.contains_key(&spec.id) {
+            // Known here, but it may be over by now: the store says.
+            return self.look_live(request, spec.id.clone(), false);
+        }
+        if let Some(why) = self.impossible(&spec) {
+            // A job accepted earlier must not be refused now, whatever has changed since.
+            tracing::debug!(job = spec.id, why, "cannot run");
+            return self.answer(request, Answer::Impossible(why));
+        }
+        let Ok(value) = serde_json::to_value(&*spec) else {
+            return self.answer(request, Answer::Later(1));
+        };
+        let size = value.to_string().len();
+        if size as f64 > self.settings.params.state.value_kb * 1024.0 - 64.0 {
+            return self.answer(request, Answer::Impossible("the description is too long to keep"));
+        }
+        let transaction = Transaction {
+            conditions: vec![
+                Condition::new(records::live(&spec.id), 0),
+                Condition::new(records::finished(&spec.id), 0),
+                self.entitlement(),
+            ],
+            writes: vec![Write::put(records::live(&spec.id), value)],
+        };
+        let purpose = Purpose::Accept { request, spec };
+        self.store(Urgency::Acceptance, purpose, StoreCall::Commit(transaction));
+    }
+
+    /// Why a job can never run here, if so.
+    fn impossible(&self, spec: &JobSpec) -> Option<&'static str> {
+        let params = &self.settings.params;
+        let Some(team) = params.teams.iter().find(|t| t.name == spec.team) else {
+            return Some("unknown team");
+        };
+        let need = spec.need();
+        let allowed = |t: &&crate::protocol::cloud::MachineType| {
+            spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+        };
+        if !self.types.values().filter(allowed).any(|t| need.fits(t.supply())) {
+            return Some("no allowed machine type is large enough for a task");
+        }
+        let together = u64::from(spec.floor());
+        let over = |each: u64, limit: f64| limit > 0.0 && (each * together) as f64 > limit * 1e3 + 1e-6;
+        if over(need.cpu, team.cpus_max) || over(need.gpu, team.gpus_max) {
+            return Some("more than the team's limit");
+        }
+        if spec.spread && spec.one_zone && together > 1 {
+            return Some("tasks that must run together can't be both apart and in one zone");
+        }
+        None
+    }
+
+    pub(super) fn accept_replied(&mut self, request: RequestId, spec: JobSpec, reply: StoreReply) {
+        match reply {
+            StoreReply::Committed { .. } => {
+                self.counters.accepted += 1;
+                if let Some(lease) = &self.lease {
+                    tracing::debug!(job = spec.id, node = lease.stamp, "accepted");
+                }
+                // The watch will bring it; ask at once rather than after the usual pause.
+                self.follow_at = self.follow_at.map(|_| self.now);
+                let state = JobState::Queued;
+                self.answer(request, Answer::Job { created: true, id: spec.id, state, done: 0, running: 0 });
+            }
+            StoreReply::Conflict { failed } => {
+                let me = records::node(self.me());
+                if failed.contains(&records::finished(&spec.id)) {
+                    self.look_final(request, spec.id, false);
+                } else if failed.contains(&records::live(&spec.id)) {
+                    let answer = self.live_answer(&spec.id);
+                    self.answer(request, answer);
+                } else {
+                    debug_assert!(failed.contains(&me));
+                    self.answer(request, Answer::Later(1));
+                }
+            }
+            _ => self.answer(request, Answer::Later(1)),
+        }
+    }
+
+    pub(super) fn queried(&mut self, request: RequestId, job: String) {
+        if let Some((state, tasks)) = self.finals.get(&job) {
+            return self.answer(request, final_answer(&job, state, tasks));
+        }
+        if self.phase != Phase::Active || !self.open_for_requests() {
+            return self.answer(request, Answer::Later(1));
+        }
+        self.look_live(request, job, false);
+    }
+
+    pub(super) fn withdrawal(&mut self, request: RequestId, job: String) {
+        if let Some((state, tasks)) = self.finals.get(&job) {
+            return self.answer(request, final_answer(&job, state, tasks));
+        }
+        if !self.open_for_requests() {
+            return self.answer(request, Answer::Later(1));
+        }
+        self.look_live(request, job, true);
+    }
+
+    fn look_live(&mut self, request: RequestId, job: String, withdraw: bool) {
+        let key = records::live(&job);
+        let urgency = if withdraw { Urgency::Withdrawal } else { Urgency::Rest };
+        self.store(urgency, Purpose::LookLive { request, job, withdraw }, StoreCall::Get { key });
+    }
+
+    fn look_final(&mut self, request: RequestId, job: String, created: bool) {
+        let key = records::finished(&job);
+        self.store(Urgency::Acceptance, Purpose::LookFinal { request, job, created }, StoreCall::Get { key });
+    }
+
+    pub(super) fn looked_live(&mut self, request: RequestId, job: String, withdraw: bool, reply: StoreReply) {
+        match reply {
+            StoreReply::Found { .. } if !withdraw => {
+                let answer = self.live_answer(&job);
+                self.answer(request, answer);
+            }
+            StoreReply::Found { value, stamp } => {
+                let tasks = value.get("Pieces").and_then(|p| p.as_u64()).unwrap_or(0) as u32;
+                let record = FinalRecord { state: Final::Withdrawn, tasks };
+                let Ok(value) = serde_json::to_value(record) else {
+                    return self.answer(request, Answer::Later(1));
+                };
+                let transaction = Transaction {
+                    conditions: vec![
+                        Condition::new(records::live(&job), stamp),
+                        Condition::new(records::finished(&job), 0),
+                        self.entitlement(),
+                    ],
+                    writes: vec![
+                        Write::delete(records::live(&job)),
+                        Write::put(records::finished(&job), value),
+                    ],
+                };
+                let purpose = Purpose::Withdraw { request, job, tasks };
+                self.store(Urgency::Withdrawal, purpose, StoreCall::Commit(transaction));
+            }
+            // Not live at that moment: then it is over, or was never accepted.
+            StoreReply::Missing => self.look_final(request, job, false),
+            _ => self.answer(request, Answer::Later(1)),
+        }
+    }
+
+    pub(super) fn looked_final(
+        &mut self,
+        request: RequestId,
+        job: String,
+        _created: bool,
+        reply: StoreReply,
+    ) {
+        match reply {
+            StoreReply::Found { value, .. } => match serde_json::from_value::<FinalRecord>(value) {
+                Ok(record) => {
+                    self.finals.insert(&job, record.state, record.tasks);
+                    self.answer(request, final_answer(&job, record.state, record.tasks));
+                }
+                Err(_) => self.answer(request, Answer::Later(1)),
+            },
+            StoreReply::Missing => self.answer(request, Answer::NotFound),
+            _ => self.answer(request, Answer::Later(1)),
+        }
+    }
+
+    pub(super) fn withdraw_replied(
+        &mut self,
+        request: RequestId,
+        job: String,
+        tasks: u32,
+        reply: StoreReply,
+    ) {
+        match reply {
+            StoreReply::Committed { .. } => {
+                self.finals.insert(&job, Final::Withdrawn, tasks);
+                // Its tasks are ended wherever they are found, for no live job has them.
+                self.jobs.remove(&job);
+                self.follow_at = self.follow_at.map(|_| self.now);
+                self.answer(request, final_answer(&job, Final::Withdrawn, tasks));
+            }
+            StoreReply::Conflict { .. } => self.look_final(request, job, false),
+            _ => self.answer(request, Answer::Later(1)),
+        }
+    }
+
+    /// The state of a job that the store has just shown to be live. Its counts are for display.
+    fn live_answer(&self, id: &str) -> Answer {
+        let Some(job) = self.jobs.get(id) else {
+            return Answer::Job {
+                created: false,
+                id: id.to_owned(),
+                state: JobState::Queued,
+                done: 0,
+                running: 0,
+            };
+        };
+        let running = job.on.iter().filter(|(index, machine)| {
+            let task = crate::protocol::worker::TaskId::new(id, **index);
+            let on = self.machines.get(*machine).and_then(|m| m.tasks.get(&task));
+            on.is_some_and(|t| t.state == TaskState::Running && t.pending.is_none())
+        });
+        let running = running.count() as u32;
+        let state = if running > 0 { JobState::Running } else { JobState::Queued };
+        Answer::Job { created: false, id: id.to_owned(), state, done: job.done.len(), running }
+    }
+}
+
+fn final_answer(id: &str, state: Final, tasks: u32) -> Answer {
+    let done = if state == Final::Done { tasks } else { 0 };
+    Answer::Job { created: false, id: id.to_owned(), state: JobState::Final(state), done, running: 0 }
+}
--- /dev/null
+++ b/src/coordination/leader.rs
@@ -0,0 +1,655 @@
+//! The leader's rounds: who is a member, what volume each job has, who holds which machine.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::bookkeeping::budget::Urgency;
+use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
+use crate::coordination::fleet::Fleet;
+use crate::coordination::model::{Job, Machine};
+use crate::coordination::placement::allows;
+use crate::coordination::volumes::{Claim, share};
+use crate::coordination::{Controller, Effect, Purpose};
+use crate::protocol::peer::PeerMessage;
+use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::{Micros, Resources};
+use crate::settings::Team;
+
+/// A machine that has just been moved stays where it is for a while.
+const SETTLE: Micros = Micros::from_secs(4);
+/// The shortest time between two rounds that something has called for.
+const SPACING: Micros = Micros::from_millis(250);
+
+/// What only the leader keeps. A new leader starts with nothing but the records.
+#[derive(Debug, Default)]
+pub(crate) struct Leading {
+    pub since: Micros,
+    pub round: u64,
+    pub round_at: Micros,
+    /// A grant is on its way: the next one builds on what it leaves.
+    pub granting: bool,
+    pub moved: BTreeMap<String, Micros>,
+    /// Machines that reported without being in any block.
+    pub strays: BTreeMap<String, (BlockRow, Micros)>,
+    pub fleet: Fleet,
+    /// Work that found no machine in the last round.
+    pub unplaced: Vec<Unplaced>,
+    /// Allotments of controllers that have left, until their tasks are accounted for.
+    pub cleaned: Micros,
+}
+
+/// Tasks of a job for which no machine is there.
+#[derive(Clone, Debug)]
+pub(crate) struct Unplaced {
+    pub job: String,
+    pub count: u64,
+}
+
+/// One task's share of its pool: processors, or accelerators. A machine that takes only one large
+/// task has but one slot for it, so the share is the machine's part that the task makes unusable.
+fn slot_size(spec: &crate::protocol::job::JobSpec, machines: &[&Machine]) -> f64 {
+    let need = spec.need();
+    let part = |m: &&&Machine| {
+        let times = need.times_in(m.supply).max(1) as f64;
+        if spec.gpus > 0.0 { m.supply.gpu as f64 / times } else { m.supply.cpu as f64 / times }
+    };
+    let plain = if spec.gpus > 0.0 { need.gpu } else { need.cpu } as f64;
+    let least = machines.iter().filter(|m| allows(spec, m)).map(|m| part(&m)).fold(f64::INFINITY, f64::min);
+    if least.is_finite() { least.max(plain) } else { plain.max(1.0) }
+}
+
+impl Controller {
+    pub(super) fn leadership_changed(&mut self) {
+        let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
+        let mine = self.leader.as_ref().is_some_and(|l| l.0 == self.me() && l.1 == stamp && stamp != 0);
+        if mine && self.lead.is_none() {
+            tracing::info!("leading");
+            self.lead = Some(Leading { since: self.now, ..Default::default() });
+            self.volumes_heard = self.now;
+            self.resume_rentals();
+        } else if !mine {
+            self.lead = None;
+        }
+    }
+
+    /// Calls for a round soon: something has changed.
+    pub(super) fn soon_round(&mut self) {
+        let now = self.now;
+        if let Some(lead) = &mut self.lead {
+            lead.round_at = lead.round_at.min(now + Micros::from_millis(50));
+        }
+    }
+
+    pub(super) fn leader_tick(&mut self) {
+        if self.lead.is_none() || !self.entitled() {
+            return;
+        }
+        self.fleet_tick();
+        if self.lead.as_ref().is_none_or(|l| self.now < l.round_at) {
+            return;
+        }
+        if self.view_is_old() {
+            self.renew_view();
+            if let Some(lead) = &mut self.lead {
+                lead.round_at = self.now + SPACING;
+            }
+            return;
+        }
+        let regular = Micros::from_secs_f64(self.tuning.round_s);
+        let now = self.now;
+        self.round();
+        if let Some(lead) = &mut self.lead {
+            lead.round += 1;
+            // `soon_round` may bring this forward, but not below the spacing.
+            lead.round_at = now + regular;
+        }
+    }
+
+    fn view_is_old(&self) -> bool {
+        let members: Vec<(String, u64)> = self.nodes.iter().map(|(m, s)| (m.clone(), *s)).collect();
+        self.view.members != members
+    }
+
+    fn holds(&self, machine: &Machine) -> bool {
+        self.nodes.get(&machine.row.owner) == Some(&machine.row.node)
+    }
+
+    /// Names the registered controllers as members and grants them the machines of those that left.
+    fn renew_view(&mut self) {
+        let members: Vec<(String, u64)> = self.nodes.iter().map(|(m, s)| (m.clone(), *s)).collect();
+        let mut counts: BTreeMap<String, usize> = members.iter().map(|m| (m.0.clone(), 0)).collect();
+        for machine in self.machines.values().filter(|m| self.holds(m)) {
+            *counts.entry(machine.row.owner.clone()).or_default() += 1;
+        }
+        let mut moves = BTreeMap::new();
+        for (name, machine) in self.machines.iter().filter(|(_, m)| !m.unused() && !self.holds(m)) {
+            // A controller that is back gets its own machines: its workers know it.
+            let back = counts.contains_key(&machine.row.owner).then(|| machine.row.owner.clone());
+            let least = counts.iter().min_by_key(|(_, n)| **n).map(|(m, _)| m.clone());
+            if let Some(to) = back.or(least) {
+                *counts.entry(to.clone()).or_default() += 1;
+                moves.insert(name.clone(), to);
+            }
+        }
+        self.grant(moves, Vec::new(), BTreeSet::new(), Some(ViewRecord { members }));
+    }
+
+    /// Writes moves, new machines and removals, all or none, under fresh tokens.
+    pub(super) fn grant(
+        &mut self,
+        moves: BTreeMap<String, String>,
+        added: Vec<BlockRow>,
+        removed: BTreeSet<String>,
+        view: Option<ViewRecord>,
+    ) -> bool {
+        let most = self.settings.params.state.txn_ops;
+        let value_limit = (self.settings.params.state.value_kb * 1024.0) as usize * 9 / 10;
+        let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
+        if self.lead.as_ref().is_none_or(|l| l.granting) {
+            return false;
+        }
+        let mut token = self.counter.0;
+        let mut shards: BTreeMap<usize, Vec<BlockRow>> = BTreeMap::new();
+        for (n, (names, _)) in &self.shards {
+            let rows = names.iter().filter_map(|name| self.machines.get(name)).map(|m| m.row.clone());
+            shards.insert(*n, rows.collect());
+        }
+        let mut changed = BTreeSet::new();
+        let budget = most.saturating_sub(2);
+        for (n, rows) in &mut shards {
+            if changed.len() >= budget {
+                break;
+            }
+            let before = rows.len();
+            rows.retain(|r| !removed.contains(&r.machine));
+            let mut touched = rows.len() < before;
+            for row in rows.iter_mut() {
+                if let Some(to) = moves.get(&row.machine) {
+                    touched = true;
+                    if to.is_empty() {
+                        row.returning = true;
+                        continue;
+                    }
+                    token += 1;
+                    row.token = token;
+                    row.owner = to.clone();
+                    row.node = self.nodes.get(to).copied().unwrap_or(0);
+                }
+            }
+            if touched {
+                changed.insert(*n);
+            }
+        }
+        for mut row in added {
+            if self.machines.contains_key(&row.machine) {
+                continue;
+            }
+            if !row.owner.is_empty() {
+                token += 1;
+                row.token = token;
+            }
+            let text = serde_json::to_string(&row).map_or(200, |t| t.len()) + 1;
+            let full = |rows: &Vec<BlockRow>| {
+                serde_json::to_string(rows).map_or(usize::MAX, |t| t.len()) + text > value_limit
+            };
+            let open = shards
+                .iter()
+                .find(|(n, rows)| !full(rows) && (changed.contains(n) || changed.len() < budget));
+            let n =
+                open.map(|(n, _)| *n).unwrap_or_else(|| (0..).find(|n| !shards.contains_key(n)).unwrap_or(0));
+            if !changed.contains(&n) && changed.len() >= budget {
+                break;
+            }
+            changed.insert(n);
+            shards.entry(n).or_default().push(row);
+        }
+        let mut transaction = Transaction {
+            conditions: vec![Condition::new(records::LEADER, leader_stamp), self.entitlement()],
+            writes: Vec::new(),
+        };
+        for n in changed {
+            let stamp = self.shards.get(&n).map_or(0, |s| s.1);
+            transaction.conditions.push(Condition::new(records::blocks(n), stamp));
+            if let Ok(value) = serde_json::to_value(&shards[&n]) {
+                transaction.writes.push(Write::put(records::blocks(n), value));
+            }
+        }
+        if let Some(view) = view
+            && let Ok(value) = serde_json::to_value(view)
+        {
+            transaction.conditions.push(Condition::new(records::VIEW, self.view_stamp));
+            transaction.writes.push(Write::put(records::VIEW, value));
+        }
+        if transaction.writes.is_empty() {
+            return false;
+        }
+        if token != self.counter.0 {
+            transaction.conditions.push(Condition::new(records::COUNTER, self.counter.1));
+            transaction.writes.push(Write::put(records::COUNTER, token.into()));
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.granting = true;
+        }
+        self.counters.grants += 1;
+        self.store(Urgency::Entitlement, Purpose::Grant, StoreCall::Commit(transaction));
+        true
+    }
+
+    pub(super) fn granted(&mut self, reply: StoreReply) {
+        if !matches!(reply, StoreReply::Committed { .. }) {
+            self.counters.grant_conflicts += 1;
+        }
+        // The next grant is worked out from what the watch shows, so it asks at once.
+        self.follow_at = self.follow_at.map(|_| self.now);
+        if let Some(lead) = &mut self.lead {
+            lead.granting = false;
+            let pause = if matches!(reply, StoreReply::Committed { .. }) { 120 } else { 500 };
+            lead.round_at = self.now + Micros::from_millis(pause);
+        }
+    }
+
+    /// Machines that work can be planned on, as their owners last said.
+    fn serving(&self, machine: &Machine) -> bool {
+        !machine.row.returning
+            && !machine.apart
+            && !machine.notice
+            && self.holds(machine)
+            && machine.up
+            && machine.dark_s < 10
+    }
+
+    fn round(&mut self) {
+        let volumes = self.volumes();
+        let leader = self.leader.as_ref().map_or(0, |l| l.2);
+        let round = self.lead.as_ref().map_or(0, |l| l.round);
+        let message = PeerMessage::Volumes { leader, round, volumes: volumes.clone() };
+        self.effects.push(Effect::Send(None, message));
+        self.take_volumes(volumes);
+        if self.lead.as_ref().is_some_and(|l| l.granting) {
+            return;
+        }
+        if self.allot() {
+            return;
+        }
+        let (moves, added) = self.plan_blocks();
+        if !moves.is_empty() || !added.is_empty() {
+            let settled = self.now;
+            if let Some(lead) = &mut self.lead {
+                for name in moves.keys() {
+                    lead.moved.insert(name.clone(), settled);
+                }
+                lead.moved.retain(|_, at| settled.since(*at) < SETTLE);
+            }
+            self.grant(moves, added, BTreeSet::new(), None);
+        } else {
+            self.cleanup();
+        }
+        self.size_fleet();
+    }
+
+    /// The volumes of all admitted jobs: per pool, and before that per team limit.
+    pub(super) fn volumes(&self) -> Vec<(String, u32)> {
+        let machines: Vec<&Machine> =
+            self.machines.values().filter(|m| self.serving(m) || self.coming(m)).collect();
+        let mut volumes = Vec::new();
+        for accelerated in [false, true] {
+            let supply: u64 =
+                machines.iter().map(|m| if accelerated { m.supply.gpu } else { m.supply.cpu }).sum();
+            let mut jobs: Vec<(&String, &Job)> = self
+                .jobs
+                .iter()
+                .filter(|(_, j)| (j.spec.gpus > 0.0) == accelerated && j.unfinished() > 0)
+                .collect();
+            // Running jobs keep their floors; the others are admitted by priority, then arrival.
+            jobs.sort_by_key(|(_, j)| (j.on.is_empty(), std::cmp::Reverse(j.spec.priority), j.stamp));
+            let mut sizes: BTreeMap<(u64, u64, u64, bool), f64> = BTreeMap::new();
+            let mut claims = Vec::new();
+            let mut left = supply as f64;
+            for (id, job) in jobs {
+                let need = job.spec.need();
+                let key = (need.cpu, need.gpu, need.memory, job.spec.types.is_some());
+                let size = *sizes.entry(key).or_insert_with(|| slot_size(&job.spec, &machines));
+                let floor =
+                    if job.spec.shape == crate::protocol::job::Shape::Array { 1 } else { job.unfinished() };
+                let cost = f64::from(floor) * size;
+                if cost > left + 1e-6 && job.on.is_empty() {
+                    continue;
+                }
+                left -= cost;
+                let priority = job.spec.priority.weight();
+                claims.push((id, job, Claim { priority, demand: job.unfinished(), floor, size }));
+            }
+            self.cap_by_team(&mut claims, accelerated);
+            let plain: Vec<Claim> = claims.iter().map(|c| c.2.clone()).collect();
+            let shares = share(&plain, supply as f64);
+            volumes.extend(claims.iter().zip(shares).map(|((id, ..), v)| ((*id).clone(), v)));
+        }
+        volumes
+    }
+
+    /// Lowers demands to the same fair fill of each team's limit.
+    fn cap_by_team(&self, claims: &mut [(&String, &Job, Claim)], accelerated: bool) {
+        for team in &self.settings.params.teams {
+            for (limit, of) in [(team.cpus_max, false), (team.gpus_max, true)] {
+                if limit <= 0.0 || (of && !accelerated) {
+                    continue;
+                }
+                let mine: Vec<usize> =
+                    (0..claims.len()).filter(|i| claims[*i].1.spec.team == team.name).collect();
+                let plain: Vec<Claim> = mine
+                    .iter()
+                    .map(|i| {
+                        let need = claims[*i].1.spec.need();
+                        let size = if of { need.gpu } else { need.cpu } as f64;
+                        Claim { size, ..claims[*i].2.clone() }
+                    })
+                    .collect();
+                for (i, volume) in mine.iter().zip(share(&plain, limit * 1e3)) {
+                    let claim = &mut claims[*i].2;
+                    claim.demand = claim.demand.min(volume.max(claim.floor));
+                }
+            }
+        }
+    }
+
+    /// Which machines should change hands so that every job's owner can reach its volume.
+    fn plan_blocks(&mut self) -> (BTreeMap<String, String>, Vec<BlockRow>) {
+        let now = self.now;
+        let moved: BTreeSet<String> = self
+            .lead
+            .as_ref()
+            .map(|l| {
+                l.moved.iter().filter(|(_, at)| now.since(**at) < SETTLE).map(|(n, _)| n.clone()).collect()
+            })
+            .unwrap_or_default();
+        let mut rooms: BTreeMap<&str, Resources> = BTreeMap::new();
+        let mut held: BTreeMap<&str, String> = BTreeMap::new();
+        let mut fresh = BTreeSet::new();
+        let strays = self.lead.as_ref().map(|l| &l.strays);
+        for (name, m) in &self.machines {
+            if self.serving(m) {
+                rooms.insert(name, m.free());
+                held.insert(name, m.row.owner.clone());
+            } else if m.unused() && !m.row.returning && strays.is_some_and(|s| s.contains_key(name)) {
+                rooms.insert(name, m.supply);
+                held.insert(name, String::new());
+                fresh.insert(name.clone());
+            } else if !m.unused() && self.holds(m) && !m.row.returning && moved.contains(name) {
+                // On its way to a new owner, who will have it shortly.
+                rooms.insert(name, m.free());
+                held.insert(name, m.row.owner.clone());
+            }
+        }
+        let mut order: Vec<(&String, &Job, u64)> = self
+            .jobs
+            .iter()
+            .map(|(id, j)| (id, j, u64::from(j.volume.saturating_sub(j.on.len() as u32))))
+            .filter(|(_, j, short)| *short > 0 && j.held_until <= now)
+            .collect();
+        order.sort_by_key(|(_, j, _)| (std::cmp::Reverse(j.spec.priority), j.stamp));
+        let mut moves: BTreeMap<String, String> = BTreeMap::new();
+        let mut unplaced = Vec::new();
+        let per_card = self.cpu_per_card();
+        // First what owners can do with what they have, then what must change hands.
+        for pass in 0..2 {
+            for (id, job, short) in &mut order {
+                let Some(owner) = &job.owner else { continue };
+                let need = job.spec.need();
+                let mut names: Vec<&str> = rooms
+                    .iter()
+                    .filter(|(name, room)| {
+                        let own = held.get(*name) == Some(owner);
+                        need.fits(**room)
+                            && own == (pass == 0)
+                            && (own || !moved.contains(**name))
+                            && self.machines.get(**name).is_some_and(|m| allows(&job.spec, m))
+                    })
+                    .map(|(name, _)| *name)
+                    .collect();
+                names.sort_by_key(|name| {
+                    let m = &self.machines[*name];
+                    let foreign = held.get(name).is_some_and(|h| !h.is_empty());
+                    (
+                        m.supply.gpu > 0 && job.spec.gpus == 0.0,
+                        pass == 1 && foreign && !m.idle(),
+                        rooms[name].cpu,
+                    )
+                });
+                for name in names {
+                    if *short == 0 {
+                        break;
+                    }
+                    let machine = &self.machines[name];
+                    let mut room = rooms[name];
+                    if job.spec.gpus == 0.0 && !machine.idle() {
+                        room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
+                    }
+                    let n = need.times_in(room).min(*short);
+                    if n == 0 {
+                        continue;
+                    }
+                    *short -= n;
+                    let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
+                    rooms.insert(name, rooms[name].minus(used));
+                    if pass == 1 {
+                        moves.insert(name.to_owned(), owner.clone());
+                        held.insert(name, owner.clone());
+                    }
+                }
+                if pass == 1 && *short > 0 {
+                    unplaced.push(Unplaced { job: (*id).clone(), count: *short });
+                }
+            }
+        }
+        self.spread_idle(&fresh, &mut moves, &held, &moved);
+        if let Some(lead) = &mut self.lead {
+            lead.unplaced = unplaced;
+        }
+        let known: Vec<BlockRow> = self
+            .lead
+            .as_ref()
+            .map(|l| {
+                l.strays
+                    .iter()
+                    .filter(|(n, _)| !self.machines.contains_key(*n))
+                    .map(|(_, s)| s.0.clone())
+                    .collect()
+            })
+            .unwrap_or_default();
+        (moves, known)
+    }
+
+    /// Machines that nobody's work asks for go where fewest of their type are, new ones at once and
+    /// idle ones when the imbalance is marked, so that a new job's owner likely has room for it.
+    fn spread_idle(
+        &self,
+        fresh: &BTreeSet<String>,
+        moves: &mut BTreeMap<String, String>,
+        held: &BTreeMap<&str, String>,
+        moved: &BTreeSet<String>,
+    ) {
+        let members: Vec<&String> = self.view.members.iter().map(|m| &m.0).collect();
+        if members.is_empty() {
+            return;
+        }
+        let mut idle: BTreeMap<&str, BTreeMap<&String, Vec<&str>>> = BTreeMap::new();
+        for (name, owner) in held {
+            let m = &self.machines[*name];
+            let by_owner = idle
+                .entry(m.row.kind.as_str())
+                .or_insert_with(|| members.iter().map(|m| (*m, Vec::new())).collect());
+            if m.idle()
+                && !moves.contains_key(*name)
+                && let Some(list) = by_owner.get_mut(owner)
+            {
+                list.push(name);
+            }
+        }
+        for name in fresh.iter().filter(|n| !moves.contains_key(*n)).cloned().collect::<Vec<_>>() {
+            let kind = self.machines[&name].row.kind.as_str();
+            let Some(by_owner) = idle.get_mut(kind) else { continue };
+            if let Some((owner, list)) = by_owner.iter_mut().min_by_key(|(_, l)| l.len()) {
+                list.push("");
+                moves.insert(name, (*owner).clone());
+            }
+        }
+        for by_owner in idle.values_mut() {
+            let most = by_owner.iter().max_by_key(|(_, l)| l.len()).map(|(o, l)| (*o, l.len()));
+            let least = by_owner.iter().min_by_key(|(_, l)| l.len()).map(|(o, l)| (*o, l.len()));
+            if let (Some((from, most)), Some((to, least))) = (most, least)
+                && most >= least + 2
+                && let Some(name) = by_owner[from].iter().find(|n| !n.is_empty() && !moved.contains(**n))
+            {
+                moves.insert((*name).to_owned(), to.clone());
+            }
+        }
+    }
+
+    /// Divides limited teams' limits among the members. A shrink is confirmed before anyone grows:
+    /// what a member may use, or does use, stays counted until the member says otherwise.
+    fn allot(&mut self) -> bool {
+        let teams: Vec<Team> = self
+            .settings
+            .params
+            .teams
+            .iter()
+            .filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+            .cloned()
+            .collect();
+        if teams.is_empty() || self.view.members.is_empty() {
+            return false;
+        }
+        let stamp = self.quota.1;
+        let mut rows = Vec::new();
+        for team in &teams {
+            let cpu = self.divide(team, team.cpus_max, false);
+            let gpu = self.divide(team, team.gpus_max, true);
+            for (i, (member, node)) in self.view.members.iter().enumerate() {
+                rows.push(Allotment {
+                    member: member.clone(),
+                    node: *node,
+                    team: team.name.clone(),
+                    cpu: cpu[i],
+                    gpu: gpu[i],
+                });
+            }
+            // A controller that left: its tasks may run until someone has accounted for them.
+            let ghosts = self.quota.0.rows.iter().filter(|r| r.team == team.name && self.is_ghost(r));
+            rows.extend(ghosts.cloned());
+        }
+        if rows == self.quota.0.rows {
+            return false;
+        }
+        let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
+        let Ok(value) = serde_json::to_value(QuotaRecord { rows }) else { return false };
+        let transaction = Transaction {
+            conditions: vec![
+                Condition::new(records::LEADER, leader_stamp),
+                Condition::new(records::QUOTA, stamp),
+                Condition::new(records::VIEW, self.view_stamp),
+                self.entitlement(),
+            ],
+            writes: vec![Write::put(records::QUOTA, value)],
+        };
+        if let Some(lead) = &mut self.lead {
+            lead.granting = true;
+        }
+        self.store(Urgency::Entitlement, Purpose::Quota, StoreCall::Commit(transaction));
+        true
+    }
+
+    fn is_ghost(&self, row: &Allotment) -> bool {
+        let member = (row.member.clone(), row.node);
+        !self.view.members.contains(&member) && !self.all_adopted()
+    }
+
+    /// Every member has accounted for what it took over in the present view.
+    fn all_adopted(&self) -> bool {
+        self.view.members.iter().all(|(m, node)| {
+            self.peers
+                .get(m)
+                .and_then(|p| p.status.as_ref())
+                .is_some_and(|s| s.stamp == *node && s.adopted && s.applied >= self.view_stamp)
+        })
+    }
+
+    fn divide(&self, team: &Team, limit: f64, gpu: bool) -> Vec<u64> {
+        let limit = (limit * 1e3) as u64;
+        let amount = |need: Resources| if gpu { need.gpu } else { need.cpu };
+        let members = &self.view.members;
+        let rows = &self.quota.0.rows;
+        let of = |r: &Allotment| if gpu { r.gpu } else { r.cpu };
+        // What is bound: the greater of the allotment a member may still act on and its use.
+        let mut bound = Vec::new();
+        let mut current = Vec::new();
+        let mut use_now = Vec::new();
+        let mut wishes = Vec::new();
+        for (member, node) in members {
+            let row = rows.iter().find(|r| r.member == *member && r.node == *node && r.team == team.name);
+            let status = self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == *node);
+            let used = status
+                .and_then(|s| s.usage.iter().find(|u| u.0 == team.name))
+                .map_or(0, |u| if gpu { u.2 } else { u.1 });
+            let seen = status.is_some_and(|s| s.applied >= self.quota.1);
+            let has = row.map_or(0, of);
+            current.push(has);
+            use_now.push(used);
+            // An allotment not yet confirmed may be smaller than the one acted on.
+            bound.push(if seen { has.max(used) } else { has.max(used).max(limit) });
+            let wish: u64 = self
+                .jobs
+                .values()
+                .filter(|j| j.owner.as_deref() == Some(member) && j.spec.team == team.name)
+                .map(|j| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32)))
+                .sum();
+            wishes.push(wish);
+        }
+        let ghosts: u64 = rows.iter().filter(|r| r.team == team.name && self.is_ghost(r)).map(of).sum();
+        let first = rows.iter().all(|r| r.team != team.name);
+        if first {
+            return vec![limit / members.len().max(1) as u64; members.len()];
+        }
+        let total: u64 = bound.iter().sum::<u64>().saturating_add(ghosts);
+        let mut spare = limit.saturating_sub(total);
+        let mut next = current.clone();
+        let lacking: u64 = (0..next.len()).map(|i| wishes[i].saturating_sub(current[i])).sum();
+        for i in 0..next.len() {
+            if wishes[i] > next[i] && spare > 0 {
+                let grow = (wishes[i] - next[i]).min(spare);
+                next[i] += grow;
+                spare -= grow;
+            }
+        }
+        if lacking > limit.saturating_sub(total) {
+            // Someone lacks room: those with more than they wish give the excess up.
+            for i in 0..next.len() {
+                let keep = wishes[i].max(use_now[i]);
+                if current[i] > keep + keep / 8 {
+                    next[i] = next[i].min(keep);
+                }
+            }
+        }
+        next
+    }
+
+    /// Removes completion records whose job is over.
+    fn cleanup(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        if self.now.since(lead.cleaned) < Micros::from_secs(2) || self.calls.waiting(Urgency::Rest) > 4 {
+            return;
+        }
+        let orphans = self.done_keys.iter().filter(|(job, _)| !self.jobs.contains_key(*job));
+        let keys: Vec<String> = orphans
+            .flat_map(|(job, chunks)| chunks.keys().map(|c| records::done_chunk(job, *c)))
+            .take(6)
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        lead.cleaned = self.now;
+        let transaction = Transaction {
+            conditions: vec![self.entitlement()],
+            writes: keys.into_iter().map(Write::delete).collect(),
+        };
+        self.store(Urgency::Rest, Purpose::Cleanup, StoreCall::Commit(transaction));
+    }
+}
--- /dev/null
+++ b/src/coordination/machines.rs
@@ -0,0 +1,365 @@
+//! Workers' reports: whose they are, what they prove, and the orders that answer them.
+
+use std::collections::BTreeMap;
+
+use crate::coordination::model::{Pending, TaskOn};
+use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
+use crate::protocol::peer::{PeerMessage, StopRequest};
+use crate::protocol::units::Micros;
+use crate::protocol::worker::{Cause, Order, Report, ReportAnswer, TaskId, TaskState};
+
+/// Orders in one answer: with the longest ids they stay far below 64 KiB.
+const MOST_ORDERS: usize = 300;
+
+/// Errors in a row, of more than one job, after which a machine is set apart.
+const FAULTY: u32 = 3;
+
+impl Controller {
+    pub(super) fn reported(&mut self, request: RequestId, report: Report) {
+        self.counters.reports += 1;
+        if !self.entitled() {
+            return self.answer(request, Answer::Later(1));
+        }
+        let Some(machine) = self.machines.get(&report.machine) else {
+            self.report_stray(report);
+            return self.answer(request, Answer::Elsewhere(None));
+        };
+        if machine.unused() {
+            self.report_stray(report);
+            return self.answer(request, Answer::Elsewhere(None));
+        }
+        if !self.owns(machine) {
+            // Sending a worker to a controller that has gone would only send it round in circles.
+            let owner = machine.row.owner.clone();
+            let there = owner != self.me() && self.nodes.get(&owner) == Some(&machine.row.node);
+            return self.answer(request, Answer::Elsewhere(there.then_some(owner)));
+        }
+        // A report held back on its way is older than what is known; a newer grant than the one
+        // known here means that the machine is no longer this controller's.
+        let stale = (report.session, report.tally) <= (machine.session, machine.tally);
+        if stale || report.token > machine.row.token {
+            self.counters.reports_stale += 1;
+            return self.answer(request, Answer::Later(1));
+        }
+        let name = report.machine.clone();
+        let (session, tally) = (report.session, report.tally);
+        self.take_report(report);
+        if std::mem::take(&mut self.place_due) {
+            self.place();
+        }
+        let answer = self.orders_for(&name, session, tally);
+        self.answer(request, Answer::Orders(answer));
+    }
+
+    /// Updates what is known of a machine from its own words.
+    fn take_report(&mut self, report: Report) {
+        let now = self.now;
+        let name = report.machine;
+        let mut seen: BTreeMap<TaskId, TaskOn> = BTreeMap::new();
+        let mut ended = Vec::new();
+        let Some(machine) = self.machines.get(&name) else { return };
+        let was_idle = machine.idle();
+        let was_ready = machine.heard.is_some();
+        for t in &report.tasks {
+            let Some(id) = TaskId::parse(&t.task) else { continue };
+            let known = machine.tasks.get(&id);
+            let same = known.filter(|k| k.attempt == t.attempt);
+            if t.state == TaskState::Ended && same.is_none_or(|k| !k.ended()) {
+                ended.push((id.clone(), t.cause.unwrap_or(Cause::Other)));
+            }
+            let on = TaskOn {
+                attempt: t.attempt,
+                state: t.state,
+                cause: t.cause,
+                need: known.map(|k| k.need).unwrap_or_else(|| self.need_of(&id.job)),
+                pending: None,
+                stop: same.and_then(|k| k.stop),
+                since: same.map_or(now, |k| k.since),
+            };
+            seen.insert(id, on);
+        }
+        // A start not yet sent stays planned. One sent in an earlier answer that this report does
+        // not show will not happen any more: the worker has one report in flight and drops answers
+        // of earlier ones.
+        for (id, t) in &machine.tasks {
+            if t.pending == Some(Pending::Planned) {
+                seen.entry(id.clone()).or_insert_with(|| t.clone());
+            }
+        }
+        let changed = seen.len() != machine.tasks.len()
+            || seen.iter().any(|(id, t)| machine.tasks.get(id).is_none_or(|k| k.state != t.state));
+        for (id, t) in &seen {
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                job.attempt = job.attempt.max(t.attempt);
+            }
+        }
+        let images: Vec<String> = seen
+            .iter()
+            .filter(|(_, t)| matches!(t.state, TaskState::Running | TaskState::Waiting))
+            .filter_map(|(id, _)| self.jobs.get(&id.job).map(|j| j.spec.image.clone()))
+            .collect();
+        self.set_tasks(&name, seen);
+        let Some(machine) = self.machines.get_mut(&name) else { return };
+        images.iter().for_each(|i| machine.remember_image(i));
+        let noticed = report.notice_s.is_some();
+        let news = changed || noticed != machine.notice || !was_ready;
+        machine.session = report.session;
+        machine.tally = report.tally;
+        machine.heard = Some(now);
+        machine.up = true;
+        machine.notice = noticed;
+        machine.dark_s = 0;
+        if !was_idle || !machine.idle() {
+            machine.idle_since = now;
+        }
+        let resolved = report.token >= machine.row.token;
+        let newly = resolved && !machine.resolved;
+        machine.resolved |= resolved;
+        if let Some(left) = report.notice_s {
+            let left = Micros::from_secs_f64(left).since(Micros::from_secs(1));
+            for t in machine.tasks.values_mut().filter(|t| !t.ended() && t.stop.is_none()) {
+                t.stop = Some(left);
+            }
+        }
+        for (task, cause) in ended {
+            self.task_ended(&name, &task, cause);
+        }
+        if newly {
+            self.check_adoption();
+        }
+        if news || newly {
+            self.soon_status();
+            self.soon_round();
+            self.place_due = true;
+        }
+        // Any answer can carry a start.
+        self.place_due |= self.has_waiting();
+    }
+
+    fn task_ended(&mut self, name: &str, task: &TaskId, cause: Cause) {
+        match cause {
+            Cause::Done => {
+                self.counters.completions += 1;
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.errors = 0;
+                    machine.error_jobs.clear();
+                    machine.apart = false;
+                }
+                self.completed(task);
+            }
+            Cause::Error => {
+                self.counters.task_errors += 1;
+                let now = self.now;
+                let mut elsewhere = false;
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.errors += 1;
+                    job.error_machines.insert(name.to_owned());
+                    // A job that fails wherever it goes is tried ever more rarely.
+                    let tries = job.error_machines.len() as u32;
+                    elsewhere = tries >= 3 && job.done.is_empty();
+                    let pause = if elsewhere { 1u64 << tries.min(6) } else { 0 };
+                    job.held_until = now + Micros::from_secs(pause);
+                }
+                if let Some(machine) = self.machines.get_mut(name)
+                    && !elsewhere
+                {
+                    machine.errors += 1;
+                    machine.error_jobs.insert(task.job.clone());
+                    if machine.errors >= FAULTY && !machine.apart {
+                        machine.apart = true;
+                        tracing::warn!(
+                            machine = name,
+                            errors = machine.errors,
+                            "set apart: every task fails there"
+                        );
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The answer to a report: all orders that are due on the machine.
+    fn orders_for(&mut self, name: &str, session: u64, tally: u64) -> ReportAnswer {
+        let mut orders = Vec::new();
+        let mut forgotten = Vec::new();
+        let live: BTreeMap<String, bool> = self
+            .machines
+            .get(name)
+            .map(|m| m.tasks.keys().map(|t| (t.job.clone(), self.jobs.contains_key(&t.job))).collect())
+            .unwrap_or_default();
+        let stored: Vec<TaskId> = self
+            .machines
+            .get(name)
+            .map(|m| {
+                m.tasks
+                    .iter()
+                    .filter(|(id, t)| t.ended() && self.may_forget(id, t))
+                    .map(|(id, _)| id.clone())
+                    .collect()
+            })
+            .unwrap_or_default();
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else {
+            return ReportAnswer { token: 0, orders };
+        };
+        // Room is made before it is used.
+        for (id, t) in &mut machine.tasks {
+            if t.ended() {
+                if stored.contains(id) {
+                    orders.push(Order::Forget { task: id.text(), attempt: t.attempt });
+                    forgotten.push(id.clone());
+                }
+                continue;
+            }
+            if !live.get(&id.job).copied().unwrap_or(false) {
+                // No live job has it: it was withdrawn, or completed elsewhere.
+                t.stop = Some(Micros::ZERO);
+            }
+            if let Some(grace) = t.stop
+                && t.pending != Some(Pending::Planned)
+                && (t.state != TaskState::Saving || grace == Micros::ZERO)
+            {
+                self.counters.stops += 1;
+                orders.push(Order::Stop {
+                    task: id.text(),
+                    attempt: t.attempt,
+                    grace_s: grace.as_secs_f64(),
+                });
+            }
+        }
+        machine.tasks.retain(|_, t| t.pending != Some(Pending::Planned) || t.stop.is_none());
+        for (id, t) in &mut machine.tasks {
+            if orders.len() >= MOST_ORDERS {
+                break;
+            }
+            if t.pending == Some(Pending::Planned) {
+                t.pending = Some(Pending::Sent { session, tally });
+                t.since = now;
+                self.counters.starts += 1;
+                orders.push(Order::Start { task: id.text(), attempt: t.attempt });
+            }
+        }
+        machine.answered = Some(now);
+        let token = machine.row.token;
+        let _ = forgotten;
+        ReportAnswer { token, orders }
+    }
+
+    /// An ended task may be forgotten once nothing is left to learn from it.
+    fn may_forget(&self, id: &TaskId, task: &TaskOn) -> bool {
+        match task.cause {
+            Some(Cause::Done) => self.is_stored(id),
+            _ => true,
+        }
+    }
+
+    /// Asks for a task to be stopped, if this controller holds its machine.
+    pub(super) fn request_stop(&mut self, name: &str, task: &TaskId, attempt: u64, grace: Micros) {
+        if let Some(machine) = self.machines.get(name)
+            && self.owns(machine)
+            && let Some(machine) = self.machines.get_mut(name)
+            && let Some(t) = machine.tasks.get_mut(task)
+            && t.attempt == attempt
+            && !t.ended()
+        {
+            t.stop = Some(t.stop.map_or(grace, |g| g.min(grace)));
+        }
+    }
+
+    /// Stops wanted by this controller's jobs on machines that others hold.
+    pub(super) fn foreign_stops(&self) -> Vec<StopRequest> {
+        let mut stops = Vec::new();
+        for machine in self.machines.values().filter(|m| !self.owns(m)) {
+            for (id, t) in machine.tasks.iter().filter(|(_, t)| !t.ended()) {
+                if let Some(grace) = t.stop
+                    && self.jobs.get(&id.job).is_some_and(|j| j.owner.as_deref() == Some(self.me()))
+                {
+                    stops.push(StopRequest {
+                        machine: machine.row.machine.clone(),
+                        task: id.clone(),
+                        attempt: t.attempt,
+                        grace_ms: grace.as_millis(),
+                    });
+                }
+            }
+        }
+        stops
+    }
+
+    /// Passes on that a machine is up which no block names.
+    fn report_stray(&mut self, report: Report) {
+        let stray = PeerMessage::Stray {
+            machine: report.machine.clone(),
+            kind: report.kind.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+        };
+        if self.lead.is_some() {
+            self.stray(report.machine, report.kind, report.zone, report.spot);
+        } else if let Some((leader, ..)) = &self.leader {
+            self.effects.push(Effect::Send(Some(leader.clone()), stray));
+        }
+    }
+
+    /// Notices machines that have been silent for so long that their tasks are certainly gone.
+    pub(super) fn machines_tick(&mut self) {
+        let silence = self.worker_lease + self.worker_lease.mul_f64(DRIFT) + SLACK + SLACK;
+        let names: Vec<String> =
+            self.machines.iter().filter(|(_, m)| self.owns(m)).map(|(n, _)| n.clone()).collect();
+        let mut lapsed = Vec::new();
+        for name in names {
+            let Some(machine) = self.machines.get(&name) else { continue };
+            if machine.resolved && machine.tasks.is_empty() {
+                continue;
+            }
+            let former =
+                machine.former_gone.or_else(|| self.nobody_else_answers(machine.stamp).then_some(self.now));
+            let Some(machine) = self.machines.get_mut(&name) else { continue };
+            machine.former_gone = former;
+            let Some(former) = former else { continue };
+            // Under a resolved grant nobody else's answer counts.
+            let last = if machine.resolved {
+                machine.answered.unwrap_or(former)
+            } else {
+                machine.answered.unwrap_or(former).max(former)
+            };
+            if self.now.since(last) > silence {
+                lapsed.push(name);
+            }
+        }
+        if lapsed.is_empty() {
+            return;
+        }
+        for name in lapsed {
+            self.counters.lapses += 1;
+            tracing::info!(machine = name, "silent beyond its lease: its tasks are gone");
+            // A planned start has not been sent and can wait for the next session.
+            self.set_tasks(&name, BTreeMap::new());
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.resolved = true;
+                // Whatever the ended session still has to say comes too late.
+                if machine.heard.is_some() {
+                    machine.session += 1;
+                    machine.tally = 0;
+                }
+            }
+        }
+        self.check_adoption();
+        self.soon_status();
+        self.soon_round();
+        self.place_due = true;
+    }
+
+    /// No other controller can answer a machine under a grant older than this revision: all that
+    /// are registered have said that they have seen it, and the others' leases have ended.
+    fn nobody_else_answers(&self, stamp: u64) -> bool {
+        self.phase == Phase::Active
+            && self.nodes.iter().filter(|(member, _)| *member != self.me()).all(|(member, node)| {
+                self.peers
+                    .get(member)
+                    .and_then(|p| p.status.as_ref())
+                    .is_some_and(|s| s.stamp == *node && s.applied >= stamp)
+            })
+    }
+}
--- /dev/null
+++ b/src/coordination/membership.rs
@@ -0,0 +1,202 @@
+//! A controller's own life: registration under a lease, loading the records, leadership.
+//!
+//! One lease of the state service carries both the registration and, for the leader, the leadership.
+//! A block is good for as long as the registration it was granted to, so the lease is also the
+//! blocks' lease, and renewing it costs no change of the store.
+
+use crate::bookkeeping::budget::Urgency;
+use crate::bookkeeping::records::{self, LeaderRecord, NodeRecord};
+use crate::coordination::{Controller, DRIFT, Lease, Phase, Purpose};
+use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::Micros;
+
+const RETRY: Micros = Micros::from_millis(400);
+
+impl Controller {
+    pub(super) fn membership_tick(&mut self) {
+        match self.phase {
+            Phase::Outside if self.now >= self.retry_at => {
+                self.phase = Phase::Registering;
+                let key = records::node(self.me());
+                self.store(Urgency::Entitlement, Purpose::FormerLife, StoreCall::Get { key });
+            }
+            Phase::Active | Phase::Loading => self.renew_when_due(),
+            _ => {}
+        }
+        if self.phase == Phase::Active {
+            if self.follow_at.is_some_and(|at| at <= self.now) {
+                self.follow_at = None;
+                let call = StoreCall::Follow {
+                    prefix: records::FOLLOWED.to_owned(),
+                    after: self.applied,
+                    hold_ms: 4_000,
+                };
+                self.store(Urgency::Entitlement, Purpose::Follow, call);
+            }
+            self.seek_leadership();
+        }
+    }
+
+    fn renew_when_due(&mut self) {
+        let every = Micros(self.lease_term.0 / 6);
+        let now = self.now;
+        if let Some(lease) = &mut self.lease
+            && !lease.renewing
+            && now.since(lease.renewed) >= every
+        {
+            lease.renewing = true;
+            let call = StoreCall::Renew { lease: lease.id };
+            self.store(Urgency::Entitlement, Purpose::Renew, call);
+        }
+    }
+
+    /// Takes the leadership when nobody has it; the members' order spreads the attempts.
+    fn seek_leadership(&mut self) {
+        if self.leader.is_some() {
+            self.lead_at = Micros::ZERO;
+            return;
+        }
+        if self.lead_at == Micros::ZERO {
+            let rank = self.settings.everyone().iter().position(|m| m == self.me()).unwrap_or(0) as u64;
+            self.lead_at = self.now + Micros::from_millis(120 * rank);
+        }
+        if self.now < self.lead_at || !self.entitled() {
+            return;
+        }
+        self.lead_at = self.now + Micros::from_secs(2);
+        let Some(lease) = &self.lease else { return };
+        let record = LeaderRecord { member: self.me().to_owned(), node: lease.stamp };
+        let Ok(value) = serde_json::to_value(record) else { return };
+        let transaction = Transaction {
+            conditions: vec![Condition::new(records::LEADER, 0), self.entitlement()],
+            writes: vec![Write::leased(records::LEADER, value, lease.id)],
+        };
+        self.store(Urgency::Entitlement, Purpose::Lead, StoreCall::Commit(transaction));
+    }
+
+    /// The condition that every transaction of this controller carries.
+    pub(super) fn entitlement(&self) -> Condition {
+        // No registration has this stamp, so without one every transaction fails.
+        let stamp = self.lease.as_ref().map_or(u64::MAX >> 1, |l| l.stamp);
+        Condition::new(records::node(self.me()), stamp)
+    }
+
+    pub(super) fn membership_replied(&mut self, purpose: Purpose, sent: Micros, reply: StoreReply) {
+        match (purpose, reply) {
+            (Purpose::FormerLife, StoreReply::Found { value, .. }) => {
+                // One process per controller: whoever holds this registration is no more.
+                let lease = serde_json::from_value(value).map_or(0, |r: NodeRecord| r.lease);
+                self.store(Urgency::Entitlement, Purpose::ReleaseFormer, StoreCall::Release { lease });
+            }
+            (Purpose::FormerLife, StoreReply::Missing)
+            | (Purpose::ReleaseFormer, StoreReply::Renewed | StoreReply::Missing) => {
+                let life_ms = self.lease_term.as_millis();
+                self.store(Urgency::Entitlement, Purpose::Lease, StoreCall::Lease { life_ms });
+            }
+            (Purpose::Lease, StoreReply::Leased { lease }) => {
+                let valid_until = self.until(sent);
+                self.lease = Some(Lease { id: lease, stamp: 0, valid_until, renewed: sent, renewing: false });
+                let key = records::node(self.me());
+                let Ok(value) = serde_json::to_value(NodeRecord { lease }) else { return };
+                let transaction = Transaction {
+                    conditions: vec![Condition::new(key.clone(), 0)],
+                    writes: vec![Write::leased(key, value, lease)],
+                };
+                self.store(Urgency::Entitlement, Purpose::Register { lease }, StoreCall::Commit(transaction));
+            }
+            (Purpose::Register { lease }, StoreReply::Committed { revision }) => {
+                if let Some(l) = &mut self.lease
+                    && l.id == lease
+                {
+                    l.stamp = revision;
+                }
+                self.phase = Phase::Loading;
+                self.load(String::new());
+            }
+            (Purpose::Load, StoreReply::Page(page)) if self.phase == Phase::Loading => {
+                if self.loading.is_empty() {
+                    self.applied = page.revision;
+                }
+                let last = page.entries.last().map(|e| e.key.clone());
+                self.loading.extend(page.entries);
+                match last {
+                    Some(after) if page.more => self.load(after),
+                    _ => {
+                        let entries = std::mem::take(&mut self.loading);
+                        self.load_all(entries);
+                        self.phase = Phase::Active;
+                        self.follow_at = Some(self.now);
+                        tracing::info!(jobs = self.jobs.len(), machines = self.machines.len(), "joined");
+                    }
+                }
+            }
+            (Purpose::Renew, StoreReply::Renewed) => {
+                let until = self.until(sent);
+                if let Some(lease) = &mut self.lease {
+                    lease.renewing = false;
+                    lease.renewed = sent;
+                    lease.valid_until = lease.valid_until.max(until);
+                }
+            }
+            (Purpose::Renew, StoreReply::Missing) => self.leave("the lease has ended"),
+            (Purpose::Renew, _) => {
+                if let Some(lease) = &mut self.lease {
+                    lease.renewing = false;
+                    lease.renewed = self.now.since(Micros(self.lease_term.0 / 6)) + RETRY;
+                }
+            }
+            (Purpose::Lead, _) => {}
+            (Purpose::Load, _) if self.phase != Phase::Loading => {}
+            (_, reply) => {
+                tracing::debug!(?reply, "joining put off");
+                self.leave("joining failed");
+            }
+        }
+    }
+
+    /// How long a lease renewed by a request sent then may be relied on.
+    fn until(&self, sent: Micros) -> Micros {
+        let margin = Micros::from_millis(100) + self.lease_term.mul_f64(DRIFT);
+        sent + self.lease_term.since(margin)
+    }
+
+    pub(super) fn load(&mut self, after: String) {
+        let prefix = records::FOLLOWED.to_owned();
+        self.store(Urgency::Entitlement, Purpose::Load, StoreCall::List { prefix, after });
+    }
+
+    /// Gives everything up and starts again as a new member.
+    pub(super) fn leave(&mut self, why: &str) {
+        if self.phase == Phase::Active {
+            tracing::warn!(why, "left, joining again");
+            self.counters.rejoins += 1;
+        }
+        let jitter = rand::RngExt::random_range(&mut self.rng, 0..300);
+        self.phase = Phase::Outside;
+        self.retry_at = self.now + RETRY + Micros::from_millis(jitter);
+        self.lease = None;
+        self.lead = None;
+        self.follow_at = None;
+        self.loading.clear();
+        self.forget_replica();
+        for (purpose, _) in self.calls.clear() {
+            self.turn_away(purpose);
+        }
+        // Replies of calls made in the former life must not be taken for the new life's.
+        let calls: Vec<_> = self.in_flight.drain().collect();
+        for (_, (purpose, _)) in calls {
+            self.turn_away(purpose);
+        }
+    }
+
+    /// Answers the request behind a call that will not be made, or whose reply will not be read.
+    fn turn_away(&mut self, purpose: Purpose) {
+        match purpose {
+            Purpose::Accept { request, .. }
+            | Purpose::LookLive { request, .. }
+            | Purpose::LookFinal { request, .. }
+            | Purpose::Withdraw { request, .. } => self.answer(request, super::Answer::Later(1)),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,454 @@
+//! What a controller decides: plain state machines without I/O or clock.
+//!
+//! A [`Controller`] takes events, each with the time on its own steady clock, and leaves effects to
+//! be carried out. Nothing here waits, so a seeded test can run a whole cluster step by step.
+
+mod fleet;
+mod intake;
+mod leader;
+mod machines;
+mod membership;
+mod model;
+mod placement;
+mod replica;
+pub mod volumes;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::bookkeeping::budget::{Budget, Urgency};
+use crate::bookkeeping::cache::FinalCache;
+use crate::bookkeeping::records::{QuotaRecord, ViewRecord};
+use crate::protocol::cloud::{CloudCall, CloudReply, MachineType, Rental};
+use crate::protocol::job::{JobSpec, JobState};
+use crate::protocol::peer::{PeerMessage, Status};
+use crate::protocol::store::{StoreCall, StoreReply};
+use crate::protocol::units::Micros;
+use crate::protocol::worker::{Report, ReportAnswer};
+use crate::settings::{Settings, Tuning};
+
+pub use model::{Job, Machine};
+
+/// Steady clocks of two machines may drift apart by 0.05%; this leaves a margin.
+pub(crate) const DRIFT: f64 = 0.001;
+/// Answers in flight when a lease runs out, and timers that fire late.
+pub(crate) const SLACK: Micros = Micros::from_millis(300);
+
+/// Names a request from outside that waits for its [`Answer`].
+pub type RequestId = u64;
+/// Names a call to the state service or the cloud.
+pub type CallId = u64;
+
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    Store(CallId, StoreReply),
+    Cloud(CallId, CloudReply),
+    Peer(String, PeerMessage),
+    Report(RequestId, Report),
+    Submit(RequestId, Box<JobSpec>),
+    Query(RequestId, String),
+    Withdraw(RequestId, String),
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Store(CallId, StoreCall),
+    Cloud(CallId, CloudCall),
+    Answer(RequestId, Answer),
+    /// To one controller, or to all others.
+    Send(Option<String>, PeerMessage),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Orders(ReportAnswer),
+    /// Report elsewhere: to the member named, or to the next one.
+    Elsewhere(Option<String>),
+    Job {
+        created: bool,
+        id: String,
+        state: JobState,
+        done: u32,
+        running: u32,
+    },
+    NotFound,
+    Impossible(&'static str),
+    /// Not now: come back after so many seconds.
+    Later(u32),
+}
+
+/// Why a call to the state service was made.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    FormerLife,
+    ReleaseFormer,
+    Lease,
+    Register {
+        lease: u64,
+    },
+    Load,
+    Follow,
+    Renew,
+    Lead,
+    Grant,
+    Accept {
+        request: RequestId,
+        spec: Box<JobSpec>,
+    },
+    /// Is the job live? If not, is it over?
+    LookLive {
+        request: RequestId,
+        job: String,
+        withdraw: bool,
+    },
+    LookFinal {
+        request: RequestId,
+        job: String,
+        created: bool,
+    },
+    Withdraw {
+        request: RequestId,
+        job: String,
+        tasks: u32,
+    },
+    Complete {
+        job: String,
+    },
+    Progress {
+        job: String,
+        chunk: usize,
+    },
+    RentalStored {
+        rental: Rental,
+    },
+    RentalClosed {
+        request: String,
+    },
+    Cleanup,
+    Quota,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum CloudPurpose {
+    Types,
+    Rent(Rental),
+    Return(Vec<String>),
+    List,
+}
+
+/// Where a controller stands in its own life.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Phase {
+    /// No registration: nothing may be done.
+    Outside,
+    Registering,
+    Loading,
+    Active,
+}
+
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pub id: u64,
+    /// Stamp of the registration: entitles every transaction.
+    pub stamp: u64,
+    pub valid_until: Micros,
+    pub renewed: Micros,
+    pub renewing: bool,
+}
+
+/// What another controller last said of itself.
+#[derive(Debug, Default)]
+pub(crate) struct Peer {
+    pub heard: Micros,
+    pub status: Option<Status>,
+}
+
+/// Counters for the operators' endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    pub reports: u64,
+    pub reports_stale: u64,
+    pub starts: u64,
+    pub stops: u64,
+    pub completions: u64,
+    pub task_errors: u64,
+    pub lapses: u64,
+    pub accepted: u64,
+    pub deferred: u64,
+    pub grants: u64,
+    pub grant_conflicts: u64,
+    pub rentals: u64,
+    pub refusals: u64,
+    pub returns: u64,
+    pub rejoins: u64,
+    pub store_failures: u64,
+    pub cloud_failures: u64,
+}
+
+/// One controller.
+pub struct Controller {
+    pub(crate) settings: Settings,
+    pub(crate) tuning: Tuning,
+    pub(crate) lease_term: Micros,
+    pub(crate) worker_lease: Micros,
+    pub(crate) report_every: Micros,
+    pub(crate) now: Micros,
+    pub(crate) rng: StdRng,
+    pub(crate) effects: Vec<Effect>,
+
+    next_call: CallId,
+    pub(crate) calls: Budget<(Purpose, StoreCall)>,
+    in_flight: HashMap<CallId, (Purpose, Micros)>,
+    pub(crate) cloud_calls: Budget<(CloudPurpose, CloudCall)>,
+    cloud_in_flight: HashMap<CallId, CloudPurpose>,
+
+    pub(crate) phase: Phase,
+    pub(crate) retry_at: Micros,
+    pub(crate) lease: Option<Lease>,
+    pub(crate) store_heard: Micros,
+
+    // Replica of what the store holds under the followed prefix.
+    pub(crate) applied: u64,
+    pub(crate) loading: Vec<crate::protocol::store::Entry>,
+    pub(crate) follow_at: Option<Micros>,
+    pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) nodes: BTreeMap<String, u64>,
+    pub(crate) leader: Option<(String, u64, u64)>,
+    pub(crate) view: ViewRecord,
+    pub(crate) view_stamp: u64,
+    pub(crate) counter: (u64, u64),
+    pub(crate) quota: (QuotaRecord, u64),
+    pub(crate) shards: BTreeMap<usize, (Vec<String>, u64)>,
+    pub(crate) rentals: BTreeMap<String, (Rental, u64)>,
+    pub(crate) done_keys: BTreeMap<String, BTreeMap<usize, u64>>,
+
+    pub(crate) machines: BTreeMap<String, Machine>,
+    pub(crate) types: BTreeMap<String, MachineType>,
+    pub(crate) types_at: Option<Micros>,
+    pub(crate) peers: BTreeMap<String, Peer>,
+    /// Machines not yet accounted for since jobs were taken over.
+    pub(crate) unresolved: BTreeSet<String>,
+    pub(crate) finals: FinalCache,
+    pub(crate) lead: Option<leader::Leading>,
+    pub(crate) lead_at: Micros,
+    pub(crate) volumes_heard: Micros,
+    pub(crate) status_due: Option<Micros>,
+    pub(crate) status_sent: Micros,
+    pub(crate) flush_at: Micros,
+    pub(crate) place_due: bool,
+    /// The view names this controller under its present registration.
+    pub(crate) placing: bool,
+    pub counters: Counters,
+}
+
+impl Controller {
+    pub fn new(settings: Settings, tuning: Tuning, seed: u64) -> Controller {
+        let count = settings.everyone().len() as f64;
+        let state = settings.params.state;
+        let cloud = settings.params.cloud;
+        let workers = settings.params.workers;
+        Controller {
+            lease_term: settings.lease(&tuning),
+            worker_lease: Micros::from_secs_f64(workers.lease_s),
+            report_every: Micros::from_secs_f64(workers.report_s),
+            now: Micros::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            effects: Vec::new(),
+            next_call: 0,
+            // Each controller keeps to its part of the limits, so that together they stay within.
+            calls: Budget::new(state.rps * 0.95 / count, state.write_rps * 0.95 / count, 0.9),
+            in_flight: HashMap::new(),
+            cloud_calls: Budget::new(cloud.rps * 0.8, cloud.rps, 1.0),
+            cloud_in_flight: HashMap::new(),
+            phase: Phase::Outside,
+            retry_at: Micros::ZERO,
+            lease: None,
+            store_heard: Micros::ZERO,
+            applied: 0,
+            loading: Vec::new(),
+            follow_at: None,
+            jobs: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            leader: None,
+            view: ViewRecord::default(),
+            view_stamp: 0,
+            counter: (0, 0),
+            quota: Default::default(),
+            shards: BTreeMap::new(),
+            rentals: BTreeMap::new(),
+            done_keys: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            types: BTreeMap::new(),
+            types_at: None,
+            peers: BTreeMap::new(),
+            unresolved: BTreeSet::new(),
+            finals: FinalCache::new(tuning.final_cache),
+            lead: None,
+            lead_at: Micros::ZERO,
+            volumes_heard: Micros::ZERO,
+            status_due: None,
+            status_sent: Micros::ZERO,
+            flush_at: Micros::ZERO,
+            place_due: false,
+            placing: false,
+            counters: Counters::default(),
+            settings,
+            tuning,
+        }
+    }
+
+    pub fn me(&self) -> &str {
+        &self.settings.member
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    pub fn handle(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.tick(),
+            Event::Store(call, reply) => {
+                if let Some((purpose, sent)) = self.in_flight.remove(&call) {
+                    self.store_replied(purpose, sent, reply);
+                }
+            }
+            Event::Cloud(call, reply) => {
+                if let Some(purpose) = self.cloud_in_flight.remove(&call) {
+                    self.cloud_replied(purpose, reply);
+                }
+            }
+            Event::Peer(from, message) => self.peer_said(from, message),
+            Event::Report(request, report) => self.reported(request, report),
+            Event::Submit(request, spec) => self.submitted(request, spec),
+            Event::Query(request, job) => self.queried(request, job),
+            Event::Withdraw(request, job) => self.withdrawal(request, job),
+        }
+        if self.place_due {
+            self.place_due = false;
+            self.place();
+        }
+        self.send_calls();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn tick(&mut self) {
+        self.membership_tick();
+        for (purpose, _) in self.calls.expire(self.now, Micros::from_millis(1_500)) {
+            self.store_replied(purpose, self.now, StoreReply::Refused);
+        }
+        if self.phase != Phase::Active {
+            return;
+        }
+        self.machines_tick();
+        self.leader_tick();
+        self.place_due = true;
+        self.flush_progress();
+        self.types_tick();
+        if self.status_due.is_some_and(|at| at <= self.now)
+            || self.now.since(self.status_sent) >= Micros::from_secs(1)
+        {
+            self.send_status();
+        }
+    }
+
+    pub(crate) fn store(&mut self, urgency: Urgency, purpose: Purpose, call: StoreCall) {
+        let writes = call.writes();
+        self.calls.push(self.now, urgency, writes, (purpose, call));
+    }
+
+    pub(crate) fn cloud(&mut self, urgency: Urgency, purpose: CloudPurpose, call: CloudCall) {
+        self.cloud_calls.push(self.now, urgency, 0, (purpose, call));
+    }
+
+    fn send_calls(&mut self) {
+        while let Some((purpose, call)) = self.calls.pop(self.now) {
+            self.next_call += 1;
+            self.in_flight.insert(self.next_call, (purpose, self.now));
+            self.effects.push(Effect::Store(self.next_call, call));
+        }
+        while let Some((purpose, call)) = self.cloud_calls.pop(self.now) {
+            self.next_call += 1;
+            self.cloud_in_flight.insert(self.next_call, purpose);
+            self.effects.push(Effect::Cloud(self.next_call, call));
+        }
+    }
+
+    pub(crate) fn answer(&mut self, request: RequestId, answer: Answer) {
+        if matches!(answer, Answer::Later(_)) {
+            self.counters.deferred += 1;
+        }
+        self.effects.push(Effect::Answer(request, answer));
+    }
+
+    fn store_replied(&mut self, purpose: Purpose, sent: Micros, reply: StoreReply) {
+        match reply {
+            StoreReply::Refused | StoreReply::Unclear => self.counters.store_failures += 1,
+            _ => self.store_heard = self.now,
+        }
+        match purpose {
+            Purpose::FormerLife
+            | Purpose::ReleaseFormer
+            | Purpose::Lease
+            | Purpose::Register { .. }
+            | Purpose::Load
+            | Purpose::Renew
+            | Purpose::Lead => self.membership_replied(purpose, sent, reply),
+            Purpose::Follow => self.followed(reply),
+            Purpose::Grant | Purpose::Quota => self.granted(reply),
+            Purpose::Accept { request, spec } => self.accept_replied(request, *spec, reply),
+            Purpose::LookLive { request, job, withdraw } => self.looked_live(request, job, withdraw, reply),
+            Purpose::LookFinal { request, job, created } => self.looked_final(request, job, created, reply),
+            Purpose::Withdraw { request, job, tasks } => self.withdraw_replied(request, job, tasks, reply),
+            Purpose::Complete { job } => self.complete_replied(job, reply),
+            Purpose::Progress { job, chunk } => self.progress_replied(job, chunk, reply),
+            Purpose::RentalStored { rental } => self.rental_stored(rental, reply),
+            Purpose::RentalClosed { request } => self.rental_closed(request, reply),
+            Purpose::Cleanup => {}
+        }
+    }
+
+    /// Whether this controller may give orders, answer reports and vouch for its jobs.
+    pub fn entitled(&self) -> bool {
+        self.phase == Phase::Active && self.lease.as_ref().is_some_and(|l| l.valid_until > self.now)
+    }
+
+    /// Whether this controller can take requests, as far as the load balancer is concerned.
+    ///
+    /// In an outage of the state service all controllers stay healthy and defer, for being taken out
+    /// would only prolong the outage. Only one that alone is cut off from the store steps aside.
+    pub fn healthy(&self) -> bool {
+        if self.phase != Phase::Active {
+            return false;
+        }
+        let fresh = Micros::from_secs(3);
+        let mine = self.now.since(self.store_heard) < fresh + Micros::from_secs(6);
+        let others = self
+            .peers
+            .values()
+            .any(|p| self.now.since(p.heard) < fresh && p.status.as_ref().is_some_and(|s| s.store_ok));
+        mine && self.now.since(self.store_heard) < fresh || !others || (self.entitled() && mine)
+    }
+
+    pub fn leading(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    pub fn machine_counts(&self) -> (usize, usize) {
+        let mine = self.machines.values().filter(|m| self.owns(m)).count();
+        (mine, self.machines.len())
+    }
+
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn adopting(&self) -> usize {
+        self.unresolved.len()
+    }
+
+    pub fn waiting_calls(&self) -> usize {
+        self.calls.waiting(Urgency::Rest)
+    }
+}
--- /dev/null
+++ b/src/coordination/model.rs
@@ -0,0 +1,201 @@
+//! Jobs and machines as a controller remembers them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::bookkeeping::records::{BlockRow, TaskSet};
+use crate::protocol::job::{JobSpec, Shape};
+use crate::protocol::units::{Micros, Resources};
+use crate::protocol::worker::{Cause, TaskId, TaskState};
+
+#[derive(Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    /// Revision of its acceptance.
+    pub stamp: u64,
+    /// When this controller first knew of it.
+    pub since: Micros,
+    /// The controller that places it; none while there is no view.
+    pub owner: Option<String>,
+    /// Taken over from another controller, some of whose machines are not accounted for.
+    pub adopting: bool,
+    pub done: TaskSet,
+    /// The part of `done` that the store holds.
+    pub stored: TaskSet,
+    pub dirty: BTreeSet<usize>,
+    pub writing: bool,
+    pub completing: bool,
+    pub retry_at: Micros,
+    /// Where its tasks are, or may be.
+    pub on: BTreeMap<u32, String>,
+    pub volume: u32,
+    /// No task below this number is left to start.
+    pub next: u32,
+    pub attempt: u64,
+    pub errors: u32,
+    pub error_machines: BTreeSet<String>,
+    pub held_until: Micros,
+    /// The whole gang is being stopped: since when.
+    pub stopping: Option<Micros>,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, stamp: u64, since: Micros) -> Job {
+        Job {
+            spec,
+            stamp,
+            since,
+            owner: None,
+            adopting: false,
+            done: TaskSet::default(),
+            stored: TaskSet::default(),
+            dirty: BTreeSet::new(),
+            writing: false,
+            completing: false,
+            retry_at: Micros::ZERO,
+            on: BTreeMap::new(),
+            volume: 0,
+            next: 0,
+            attempt: 0,
+            errors: 0,
+            error_machines: BTreeSet::new(),
+            held_until: Micros::ZERO,
+            stopping: None,
+        }
+    }
+
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.done.len()
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.shape == Shape::Gang
+    }
+
+    /// Notes that a task has completed. The tasks of a gang complete together.
+    pub fn complete(&mut self, index: u32) -> bool {
+        let chunk = |i: u32| i as usize / crate::bookkeeping::records::CHUNK;
+        if index >= self.spec.tasks || self.spec.shape == Shape::Service {
+            return false;
+        }
+        let range = if self.is_gang() { 0..self.spec.tasks } else { index..index + 1 };
+        let mut new = false;
+        for i in range {
+            if self.done.insert(i) {
+                self.dirty.insert(chunk(i));
+                new = true;
+            }
+        }
+        new
+    }
+}
+
+/// A start that the machine has not confirmed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pending {
+    Planned,
+    /// Sent in the answer to this report.
+    Sent {
+        session: u64,
+        tally: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct TaskOn {
+    pub attempt: u64,
+    pub state: TaskState,
+    pub cause: Option<Cause>,
+    pub need: Resources,
+    pub pending: Option<Pending>,
+    /// Wanted gone: with this much time to save.
+    pub stop: Option<Micros>,
+    pub since: Micros,
+}
+
+impl TaskOn {
+    pub fn ended(&self) -> bool {
+        self.state == TaskState::Ended
+    }
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub row: BlockRow,
+    /// Registration of the controller that it was granted to.
+    pub shard: usize,
+    /// Revision of the grant.
+    pub stamp: u64,
+    pub since: Micros,
+    pub supply: Resources,
+    pub session: u64,
+    pub tally: u64,
+    pub heard: Option<Micros>,
+    pub answered: Option<Micros>,
+    /// Since when no former owner can answer it any more.
+    pub former_gone: Option<Micros>,
+    pub resolved: bool,
+    /// Its owner's status under the present grant was made at this revision.
+    pub spoken: u64,
+    pub apart: bool,
+    pub notice: bool,
+    pub idle_since: Micros,
+    /// As its owner says: seconds without a report.
+    pub dark_s: u32,
+    pub up: bool,
+    pub tasks: BTreeMap<TaskId, TaskOn>,
+    pub images: VecDeque<String>,
+    /// Errors in a row, and the jobs they befell.
+    pub errors: u32,
+    pub error_jobs: BTreeSet<String>,
+}
+
+impl Machine {
+    pub fn new(row: BlockRow, shard: usize, stamp: u64, now: Micros, supply: Resources) -> Machine {
+        Machine {
+            row,
+            shard,
+            stamp,
+            since: now,
+            supply,
+            session: 0,
+            tally: 0,
+            heard: None,
+            answered: None,
+            former_gone: None,
+            resolved: false,
+            spoken: 0,
+            apart: false,
+            notice: false,
+            idle_since: now,
+            dark_s: 0,
+            up: false,
+            tasks: BTreeMap::new(),
+            images: VecDeque::new(),
+            errors: 0,
+            error_jobs: BTreeSet::new(),
+        }
+    }
+
+    /// Held by nobody yet, so nothing can ever have been started there.
+    pub fn unused(&self) -> bool {
+        self.row.owner.is_empty()
+    }
+
+    pub fn free(&self) -> Resources {
+        let used = self.tasks.values().filter(|t| !t.ended());
+        used.fold(self.supply, |room, t| room.minus(t.need))
+    }
+
+    pub fn idle(&self) -> bool {
+        self.tasks.values().all(TaskOn::ended)
+    }
+
+    pub fn remember_image(&mut self, image: &str) {
+        if self.images.front().is_some_and(|i| i == image) {
+            return;
+        }
+        self.images.retain(|i| i != image);
+        self.images.push_front(image.to_owned());
+        self.images.truncate(8);
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,450 @@
+//! An owner's placement of its own jobs on its own machines, and the record of what they complete.
+
+use std::collections::BTreeMap;
+
+use crate::bookkeeping::budget::Urgency;
+use crate::bookkeeping::records::{self, FinalRecord};
+use crate::coordination::model::{Job, Machine, Pending, TaskOn};
+use crate::coordination::{Controller, Purpose};
+use crate::protocol::job::{Final, JobSpec, Shape};
+use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::{Micros, Resources};
+use crate::protocol::worker::{TaskId, TaskState};
+
+/// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
+const MOST_STARTS: usize = 400;
+
+/// Whether a job's description allows a machine, apart from its other tasks.
+pub(super) fn allows(spec: &JobSpec, machine: &Machine) -> bool {
+    spec.types.as_ref().is_none_or(|t| t.contains(&machine.row.kind))
+        && spec.zone.as_ref().is_none_or(|z| *z == machine.row.zone)
+        && (spec.spot || !machine.row.spot)
+        && spec.need().fits(machine.supply)
+}
+
+impl Controller {
+    /// This controller's own job, fully taken over.
+    fn places(&self, job: &Job) -> bool {
+        job.owner.as_deref() == Some(self.me()) && !job.adopting && !job.completing
+    }
+
+    /// How many tasks of a job the owner may have started.
+    fn wanted(&self, job: &Job) -> u32 {
+        // Without a leader's word for a while, work goes on inside the blocks that are held.
+        let silent = self.now.since(self.volumes_heard) > Micros::from_secs_f64(self.tuning.round_s * 3.0);
+        let unheard = silent && self.now.since(job.since) > Micros::from_secs_f64(self.tuning.round_s);
+        if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
+    }
+
+    fn active(&self, id: &str, job: &Job) -> u32 {
+        let on = job.on.iter().filter(|(index, name)| {
+            let task = TaskId::new(id, **index);
+            self.machines.get(*name).and_then(|m| m.tasks.get(&task)).is_none_or(|t| !t.ended())
+        });
+        on.count() as u32
+    }
+
+    /// Some own job could use a start; a cheap test made at every report.
+    pub(super) fn has_waiting(&self) -> bool {
+        self.jobs
+            .values()
+            .any(|j| self.places(j) && (j.on.len() as u32) < self.wanted(j) && j.held_until <= self.now)
+    }
+
+    /// Plans starts for all own jobs, the most urgent first.
+    pub(super) fn place(&mut self) {
+        if !self.entitled() || !self.placing {
+            return;
+        }
+        let mut order: Vec<(u8, u64, String)> = Vec::new();
+        for (id, job) in &self.jobs {
+            if self.places(job) && job.held_until <= self.now && (job.on.len() as u32) < self.wanted(job) {
+                order.push((u8::MAX - job.spec.priority as u8, job.stamp, id.clone()));
+            }
+        }
+        if order.is_empty() {
+            return;
+        }
+        order.sort();
+        let mut rooms: BTreeMap<String, Resources> = BTreeMap::new();
+        for (name, machine) in &self.machines {
+            if self.usable(machine) {
+                rooms.insert(name.clone(), machine.free());
+            }
+        }
+        let mut planned = 0;
+        let mut held_back: Option<u8> = None;
+        for (rank, _, id) in order {
+            if planned >= MOST_STARTS {
+                break;
+            }
+            // Work of lower rank must not fill the room that waiting work of a higher one needs.
+            if let Some(by) = held_back
+                && rank > by
+            {
+                self.hold_room(&mut rooms, by);
+                held_back = None;
+            }
+            let gang = self.jobs.get(&id).is_some_and(Job::is_gang);
+            let started =
+                if gang { self.place_gang(&id, &mut rooms) } else { self.place_array(&id, &mut rooms) };
+            planned += started;
+            let short = self.jobs.get(&id).is_some_and(|j| (j.on.len() as u32) < self.wanted(j));
+            if short && held_back.is_none() {
+                held_back = Some(rank);
+            }
+        }
+        if planned > 0 {
+            self.soon_status();
+        }
+    }
+
+    /// Keeps, for each waiting own job of this rank or higher, the machine that will soonest have
+    /// room for it.
+    fn hold_room(&self, rooms: &mut BTreeMap<String, Resources>, rank: u8) {
+        let waiting = self.jobs.values().filter(|j| {
+            u8::MAX - j.spec.priority as u8 <= rank && self.places(j) && (j.on.len() as u32) < self.wanted(j)
+        });
+        for job in waiting {
+            let best = rooms
+                .iter()
+                .filter_map(|(name, room)| self.machines.get(name).map(|m| (name, room, m)))
+                .filter(|(_, _, m)| allows(&job.spec, m))
+                .max_by_key(|(_, room, m)| room.cpu * 1000 / m.supply.cpu.max(1))
+                .map(|(name, ..)| name.clone());
+            if let Some(name) = best {
+                rooms.remove(&name);
+            }
+        }
+    }
+
+    /// Whether tasks may be started on a machine now.
+    fn usable(&self, machine: &Machine) -> bool {
+        let recent = Micros(self.report_every.0 * 3);
+        self.owns(machine)
+            && !machine.row.returning
+            && !machine.apart
+            && !machine.notice
+            && machine.heard.is_some_and(|at| self.now.since(at) < recent)
+    }
+
+    fn place_array(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let spec = job.spec.clone();
+        let active = self.active(id, job);
+        let mut short = self.wanted(job).saturating_sub(active) as usize;
+        let mut index = job.next;
+        let mut first_left = None;
+        let mut starts: Vec<(u32, String)> = Vec::new();
+        let mut zones = self.zone_counts(id);
+        let mut room_left = self.team_room(&spec);
+        while short > 0 && index < spec.tasks && starts.len() < MOST_STARTS {
+            let Some(job) = self.jobs.get(id) else { break };
+            if job.done.contains(index) || job.on.contains_key(&index) {
+                index += 1;
+                continue;
+            }
+            first_left.get_or_insert(index);
+            if !spec.need().fits(room_left) {
+                break;
+            }
+            let Some(name) = self.best_machine(&spec, rooms, &zones) else { break };
+            if let Some(room) = rooms.get_mut(&name) {
+                *room = room.minus(spec.need());
+            }
+            room_left = room_left.minus(spec.need());
+            if let Some(m) = self.machines.get(&name) {
+                *zones.entry(m.row.zone.clone()).or_default() += 1;
+            }
+            starts.push((index, name));
+            short -= 1;
+            index += 1;
+        }
+        let count = starts.len();
+        let attempt = self.next_attempt(id);
+        for (index, name) in starts {
+            self.plan(id, index, attempt, &name);
+        }
+        if let Some(job) = self.jobs.get_mut(id)
+            && let Some(first) = first_left
+        {
+            job.next = first;
+        }
+        count
+    }
+
+    /// Starts all tasks of a gang, or none. No task of an earlier attempt may be left.
+    fn place_gang(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let spec = job.spec.clone();
+        if !job.on.is_empty() || self.wanted(job) < spec.tasks {
+            return 0;
+        }
+        let total = spec.need();
+        let n = u64::from(spec.tasks);
+        let whole = Resources { cpu: total.cpu * n, gpu: total.gpu * n, memory: total.memory * n };
+        if !(Resources { memory: 0, ..whole }).fits(self.team_room(&spec)) {
+            return 0;
+        }
+        let mut zones: Vec<Option<String>> = vec![None];
+        if spec.one_zone {
+            let mut named: Vec<String> =
+                rooms.keys().filter_map(|m| self.machines.get(m)).map(|m| m.row.zone.clone()).collect();
+            named.sort();
+            named.dedup();
+            zones = named.into_iter().map(Some).collect();
+        }
+        let mut best: Option<(Vec<String>, BTreeMap<String, Resources>)> = None;
+        for zone in zones {
+            let mut left = rooms.clone();
+            if let Some(zone) = &zone {
+                left.retain(|name, _| self.machines.get(name).is_some_and(|m| m.row.zone == *zone));
+            }
+            let mut counts = BTreeMap::new();
+            let mut chosen = Vec::new();
+            for _ in 0..spec.tasks {
+                let Some(name) = self.best_machine(&spec, &left, &counts) else { break };
+                if let Some(room) = left.get_mut(&name) {
+                    *room = room.minus(spec.need());
+                }
+                if let Some(m) = self.machines.get(&name) {
+                    *counts.entry(m.row.zone.clone()).or_default() += 1;
+                }
+                chosen.push(name);
+            }
+            if chosen.len() == spec.tasks as usize && best.is_none() {
+                best = Some((chosen, left));
+            }
+        }
+        let Some((chosen, left)) = best else { return 0 };
+        rooms.extend(left);
+        let attempt = self.next_attempt(id);
+        for (index, name) in chosen.iter().enumerate() {
+            self.plan(id, index as u32, attempt, name);
+        }
+        chosen.len()
+    }
+
+    /// Attempts rise from one start to the next and from one owner to the next.
+    fn next_attempt(&mut self, id: &str) -> u64 {
+        let applied = self.applied;
+        self.jobs.get_mut(id).map_or(0, |j| {
+            j.attempt = (j.attempt + 1).max(applied);
+            j.attempt
+        })
+    }
+
+    fn plan(&mut self, id: &str, index: u32, attempt: u64, name: &str) {
+        let task = TaskId::new(id, index);
+        let on = TaskOn {
+            attempt,
+            state: TaskState::Fetching,
+            cause: None,
+            need: self.need_of(id),
+            pending: Some(Pending::Planned),
+            stop: None,
+            since: self.now,
+        };
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.tasks.insert(task, on);
+            machine.idle_since = self.now;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.on.insert(index, name.to_owned());
+        }
+    }
+
+    /// Tasks of a job by zone, each counted until it is seen gone.
+    fn zone_counts(&self, id: &str) -> BTreeMap<String, u32> {
+        let mut counts = BTreeMap::new();
+        if let Some(job) = self.jobs.get(id) {
+            for machine in job.on.values().filter_map(|name| self.machines.get(name)) {
+                *counts.entry(machine.row.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    fn best_machine(
+        &self,
+        spec: &JobSpec,
+        rooms: &BTreeMap<String, Resources>,
+        zones: &BTreeMap<String, u32>,
+    ) -> Option<String> {
+        let need = spec.need();
+        let zone_ok = |zone: &String| {
+            let here = zones.get(zone).copied().unwrap_or(0);
+            let one = !spec.one_zone || zones.values().sum::<u32>() == here;
+            one && (!spec.spread || here < spec.tasks.div_ceil(2))
+        };
+        let per_card = if spec.gpus > 0.0 { 0 } else { self.cpu_per_card() };
+        rooms
+            .iter()
+            .filter_map(|(name, room)| {
+                let machine = self.machines.get(name)?;
+                if !need.fits(*room) || !allows(spec, machine) || !zone_ok(&machine.row.zone) {
+                    return None;
+                }
+                // Work without accelerators takes only the processors that accelerator work leaves.
+                let kept = room.gpu / 1000 * per_card;
+                let in_the_way = kept > 0 && spec.gpus == 0.0 && need.cpu + kept > room.cpu;
+                let cached = machine.images.contains(&spec.image);
+                let tight = room.cpu.saturating_sub(need.cpu);
+                Some(((in_the_way, !cached, tight), name))
+            })
+            .min()
+            .map(|(_, name)| name.clone())
+    }
+
+    /// Processors that one accelerator's work takes, by the largest live job that uses any.
+    pub(super) fn cpu_per_card(&self) -> u64 {
+        let per = |j: &Job| (j.spec.cpus * 1e3 / j.spec.gpus) as u64;
+        self.jobs.values().filter(|j| j.spec.gpus > 0.0).map(per).max().unwrap_or(0)
+    }
+
+    /// What the owner's jobs of a team may still take, by its allotment of the team's limit.
+    fn team_room(&self, spec: &JobSpec) -> Resources {
+        let unlimited = Resources { cpu: u64::MAX >> 1, gpu: u64::MAX >> 1, memory: u64::MAX >> 1 };
+        let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
+            return Resources::default();
+        };
+        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
+            return unlimited;
+        }
+        let node = self.lease.as_ref().map_or(0, |l| l.stamp);
+        let row =
+            self.quota.0.rows.iter().find(|r| r.team == spec.team && r.member == self.me() && r.node == node);
+        let Some(row) = row else { return Resources::default() };
+        let (cpu, gpu) = self.team_usage(&spec.team);
+        let left = |limit: f64, allotted: u64, used: u64| {
+            if limit > 0.0 { allotted.saturating_sub(used) } else { u64::MAX >> 1 }
+        };
+        Resources {
+            cpu: left(team.cpus_max, row.cpu, cpu),
+            gpu: left(team.gpus_max, row.gpu, gpu),
+            memory: u64::MAX >> 1,
+        }
+    }
+
+    /// What tasks of this controller's jobs of a team take, wherever they are or may be.
+    fn team_usage(&self, team: &str) -> (u64, u64) {
+        let mine = |j: &&Job| j.owner.as_deref() == Some(self.me()) && j.spec.team == team;
+        self.jobs.values().filter(mine).fold((0, 0), |(cpu, gpu), j| {
+            let (need, n) = (j.spec.need(), j.on.len() as u64);
+            (cpu + need.cpu * n, gpu + need.gpu * n)
+        })
+    }
+
+    pub(super) fn usage(&self) -> Vec<(String, u64, u64)> {
+        let limited = self.settings.params.teams.iter().filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        limited
+            .map(|t| {
+                let (cpu, gpu) = self.team_usage(&t.name);
+                (t.name.clone(), cpu, gpu)
+            })
+            .collect()
+    }
+
+    /// The leader's volumes. A job it does not name is not admitted.
+    pub(super) fn take_volumes(&mut self, volumes: Vec<(String, u32)>) {
+        self.volumes_heard = self.now;
+        let named: BTreeMap<String, u32> = volumes.into_iter().collect();
+        for (id, job) in &mut self.jobs {
+            job.volume = named.get(id).copied().unwrap_or(0);
+        }
+        self.place_due = true;
+    }
+
+    /// A task has completed, as its machine's owner has it from the worker.
+    pub(super) fn completed(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let new = job.complete(task.index);
+            if new && job.unfinished() == 0 {
+                self.flush_at = self.now;
+            }
+        }
+    }
+
+    /// Records completions: a job that is done at once, others in batches.
+    pub(super) fn flush_progress(&mut self) {
+        if self.now < self.flush_at || !self.entitled() || !self.placing {
+            return;
+        }
+        self.flush_at = self.now + Micros::from_millis(100);
+        let me = self.settings.member.clone();
+        let now = self.now;
+        let mine: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.owner.as_deref() == Some(&me) && !j.completing && j.retry_at <= now)
+            .filter(|(_, j)| j.unfinished() == 0 || !j.dirty.is_empty() && !j.writing)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in mine {
+            let entitlement = self.entitlement();
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let live = Condition::new(records::live(&id), job.stamp);
+            if job.unfinished() == 0 && job.spec.shape != Shape::Service {
+                job.completing = true;
+                let record = FinalRecord { state: Final::Done, tasks: job.spec.tasks };
+                let Ok(value) = serde_json::to_value(record) else { continue };
+                let transaction = Transaction {
+                    conditions: vec![live, Condition::new(records::finished(&id), 0), entitlement],
+                    writes: vec![
+                        Write::delete(records::live(&id)),
+                        Write::put(records::finished(&id), value),
+                    ],
+                };
+                self.store(
+                    Urgency::Completion,
+                    Purpose::Complete { job: id },
+                    StoreCall::Commit(transaction),
+                );
+            } else if let Some(chunk) = job.dirty.pop_first() {
+                job.writing = true;
+                job.retry_at = now + Micros::from_millis(1_500);
+                let value = job.done.chunk(chunk);
+                let key = records::done_chunk(&id, chunk);
+                let known = self.done_keys.get(&id).and_then(|c| c.get(&chunk)).copied().unwrap_or(0);
+                let transaction = Transaction {
+                    conditions: vec![live, Condition::new(key.clone(), known), entitlement],
+                    writes: vec![Write::put(key, value)],
+                };
+                self.store(
+                    Urgency::Completion,
+                    Purpose::Progress { job: id, chunk },
+                    StoreCall::Commit(transaction),
+                );
+            }
+        }
+    }
+
+    pub(super) fn complete_replied(&mut self, id: String, reply: StoreReply) {
+        match reply {
+            StoreReply::Committed { .. } => {
+                if let Some(job) = self.jobs.remove(&id) {
+                    self.finals.insert(&id, Final::Done, job.spec.tasks);
+                    tracing::debug!(job = id, "done");
+                }
+                self.soon_round();
+            }
+            // Withdrawn in the meantime, or this controller's word no longer counts: the watch tells.
+            reply => {
+                let pause = if matches!(reply, StoreReply::Conflict { .. }) { 1_000 } else { 300 };
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.completing = false;
+                    job.retry_at = self.now + Micros::from_millis(pause);
+                }
+            }
+        }
+    }
+
+    pub(super) fn progress_replied(&mut self, id: String, chunk: usize, reply: StoreReply) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.writing = false;
+            if !matches!(reply, StoreReply::Committed { .. }) {
+                job.dirty.insert(chunk);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/replica.rs
@@ -0,0 +1,480 @@
+//! The controller's copy of the followed records, and what other controllers say.
+
+use serde_json::Value;
+
+use crate::bookkeeping::records::{self, BlockRow, LeaderRecord, TaskSet};
+use crate::coordination::model::{Job, Machine, Pending, TaskOn};
+use crate::coordination::{Controller, Effect, Phase};
+use crate::protocol::job::JobSpec;
+use crate::protocol::peer::{MachineStatus, PeerMessage, Status, TaskStatus};
+use crate::protocol::store::{Change, Entry, StoreReply};
+use crate::protocol::units::{Micros, Resources};
+use crate::protocol::worker::{TaskId, TaskState};
+
+/// Least time between two requests for changes: the store's limit on requests is shared by all.
+const FOLLOW_SPACING: Micros = Micros::from_millis(100);
+
+/// A stable hash, the same in every controller: FNV-1a with a final mix.
+fn hash(parts: [&str; 2]) -> u64 {
+    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
+    for byte in parts.iter().flat_map(|p| p.bytes().chain([0xff])) {
+        h = (h ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    h ^= h >> 32;
+    h = h.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    h ^ (h >> 29)
+}
+
+/// Rendezvous hashing: the member with the highest hash together with the job has it.
+pub(super) fn rendezvous<'a>(job: &str, members: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    members.max_by_key(|m| hash([job, m]))
+}
+
+impl Controller {
+    pub(super) fn forget_replica(&mut self) {
+        self.applied = 0;
+        self.jobs.clear();
+        self.nodes.clear();
+        self.leader = None;
+        self.view = Default::default();
+        self.view_stamp = 0;
+        self.counter = (0, 0);
+        self.quota = Default::default();
+        self.shards.clear();
+        self.rentals.clear();
+        self.done_keys.clear();
+        self.machines.clear();
+        self.unresolved.clear();
+        self.peers.clear();
+        self.placing = false;
+    }
+
+    pub(super) fn load_all(&mut self, entries: Vec<Entry>) {
+        // Jobs before their completions, blocks before the view.
+        let (last, first): (Vec<_>, Vec<_>) =
+            entries.into_iter().partition(|e| e.key.starts_with(records::DONE) || e.key == records::VIEW);
+        for e in first.into_iter().chain(last) {
+            self.put(&e.key, e.value, e.stamp);
+        }
+        self.status_due = Some(self.now);
+    }
+
+    pub(super) fn followed(&mut self, reply: StoreReply) {
+        if self.phase != Phase::Active {
+            return;
+        }
+        self.follow_at = Some(self.now + FOLLOW_SPACING);
+        match reply {
+            StoreReply::News(news) => {
+                for change in news.changes {
+                    match change {
+                        Change::Put { key, value, stamp } => self.put(&key, value, stamp),
+                        Change::Delete { key, stamp } => self.delete(&key, stamp),
+                    }
+                }
+                if news.revision > self.applied {
+                    self.applied = news.revision;
+                    self.soon_status();
+                    self.place_due = true;
+                }
+            }
+            // What was missed is unknown, and with it what others have been told.
+            StoreReply::TooOld => self.leave("the changes missed are no longer kept"),
+            _ => self.follow_at = Some(self.now + Micros::from_millis(300)),
+        }
+    }
+
+    fn put(&mut self, key: &str, value: Value, stamp: u64) {
+        if let Some(job) = key.strip_prefix(records::LIVE) {
+            if !self.jobs.contains_key(job)
+                && let Ok(spec) = serde_json::from_value::<JobSpec>(value)
+            {
+                let mut job_state = Job::new(spec, stamp, self.now);
+                job_state.owner = self.owner_of(job);
+                self.jobs.insert(job.to_owned(), job_state);
+                self.soon_round();
+            }
+        } else if let Some(rest) = key.strip_prefix(records::DONE) {
+            let Some((job, chunk)) = rest.rsplit_once('/') else { return };
+            let Ok(chunk) = chunk.parse::<usize>() else { return };
+            self.done_keys.entry(job.to_owned()).or_default().insert(chunk, stamp);
+            if let Some(j) = self.jobs.get_mut(job) {
+                j.stored.merge(chunk, &value, j.spec.tasks);
+                j.done.merge(chunk, &value, j.spec.tasks);
+            }
+        } else if let Some(member) = key.strip_prefix(records::NODE) {
+            self.nodes.insert(member.to_owned(), stamp);
+            self.soon_round();
+        } else if let Some(shard) = key.strip_prefix(records::BLOCKS) {
+            if let (Ok(shard), Ok(rows)) = (shard.parse(), serde_json::from_value(value)) {
+                self.blocks_changed(shard, rows, stamp);
+            }
+        } else if let Some(request) = key.strip_prefix(records::RENTAL) {
+            if let Ok(rental) = serde_json::from_value(value) {
+                self.rentals.insert(request.to_owned(), (rental, stamp));
+            }
+        } else if key == records::LEADER {
+            if let Ok(l) = serde_json::from_value::<LeaderRecord>(value) {
+                self.leader = Some((l.member, l.node, stamp));
+                self.leadership_changed();
+            }
+        } else if key == records::VIEW {
+            if let Ok(view) = serde_json::from_value(value) {
+                self.view = view;
+                self.view_stamp = stamp;
+                self.view_changed();
+            }
+        } else if key == records::COUNTER {
+            self.counter = (value.as_u64().unwrap_or(0), stamp);
+        } else if key == records::QUOTA
+            && let Ok(quota) = serde_json::from_value(value)
+        {
+            self.quota = (quota, stamp);
+        }
+    }
+
+    fn delete(&mut self, key: &str, stamp: u64) {
+        if let Some(job) = key.strip_prefix(records::LIVE) {
+            // A key accepted, removed and seen again cannot be: ids are never accepted twice.
+            self.jobs.remove(job);
+            self.soon_round();
+        } else if let Some(rest) = key.strip_prefix(records::DONE) {
+            if let Some((job, chunk)) = rest.rsplit_once('/')
+                && let (Some(keys), Ok(chunk)) = (self.done_keys.get_mut(job), chunk.parse::<usize>())
+            {
+                keys.remove(&chunk);
+                if keys.is_empty() {
+                    self.done_keys.remove(job);
+                }
+            }
+        } else if let Some(member) = key.strip_prefix(records::NODE) {
+            if self.nodes.get(member).is_some_and(|s| *s < stamp) {
+                self.nodes.remove(member);
+                if member == self.me() {
+                    self.leave("the registration has been removed");
+                    return;
+                }
+            }
+            self.soon_round();
+        } else if let Some(shard) = key.strip_prefix(records::BLOCKS) {
+            if let Ok(shard) = shard.parse() {
+                self.blocks_changed(shard, Vec::new(), stamp);
+            }
+        } else if let Some(request) = key.strip_prefix(records::RENTAL) {
+            self.rentals.remove(request);
+        } else if key == records::LEADER && self.leader.as_ref().is_some_and(|l| l.2 < stamp) {
+            self.leader = None;
+            self.leadership_changed();
+        }
+    }
+
+    fn blocks_changed(&mut self, shard: usize, rows: Vec<BlockRow>, stamp: u64) {
+        if self.shards.get(&shard).is_some_and(|s| s.1 >= stamp) {
+            return;
+        }
+        let names: Vec<String> = rows.iter().map(|r| r.machine.clone()).collect();
+        let before = self.shards.insert(shard, (names.clone(), stamp)).map(|s| s.0).unwrap_or_default();
+        for gone in before.iter().filter(|n| !names.contains(n)) {
+            // Its row goes only after the cloud has confirmed that the machine is gone.
+            self.set_tasks(gone, Default::default());
+            self.machines.remove(gone);
+            self.unresolved.remove(gone);
+        }
+        for row in rows {
+            let supply = self.types.get(&row.kind).map(|t| t.supply()).unwrap_or_default();
+            let now = self.now;
+            let machine = self
+                .machines
+                .entry(row.machine.clone())
+                .or_insert_with(|| Machine::new(row.clone(), shard, stamp, now, supply));
+            if machine.row.token == row.token {
+                machine.row = row;
+                continue;
+            }
+            machine.row = row;
+            machine.stamp = stamp;
+            machine.resolved = false;
+            machine.spoken = 0;
+            machine.heard = None;
+            machine.answered = None;
+            machine.former_gone = None;
+            machine.up = false;
+            machine.dark_s = 0;
+            machine.idle_since = now;
+            // What had not been sent under the former grant can no longer be.
+            let name = machine.row.machine.clone();
+            self.drop_planned(&name, |_| true);
+        }
+        self.place_due = true;
+    }
+
+    /// Takes back starts on a machine that were planned but never sent.
+    pub(super) fn drop_planned(&mut self, name: &str, which: impl Fn(&TaskId) -> bool) {
+        let Some(machine) = self.machines.get(name) else { return };
+        let mut tasks = machine.tasks.clone();
+        tasks.retain(|id, t| t.pending != Some(Pending::Planned) || !which(id));
+        if tasks.len() < machine.tasks.len() {
+            self.set_tasks(name, tasks);
+        }
+    }
+
+    pub(super) fn owner_of(&self, job: &str) -> Option<String> {
+        rendezvous(job, self.view.members.iter().map(|m| m.0.as_str())).map(str::to_owned)
+    }
+
+    /// This controller is in the view, under its present registration.
+    pub(super) fn in_view(&self) -> bool {
+        let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
+        self.view.members.iter().any(|(m, s)| m == self.me() && *s == stamp)
+    }
+
+    pub(super) fn view_changed(&mut self) {
+        let me = self.settings.member.clone();
+        let view_stamp = self.view_stamp;
+        let members: Vec<String> = self.view.members.iter().map(|m| m.0.clone()).collect();
+        let mut taken = false;
+        let mut lost = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let owner = rendezvous(id, members.iter().map(String::as_str)).map(str::to_owned);
+            let mine = owner.as_deref() == Some(&me);
+            // A former life's jobs are as foreign as another controller's.
+            let was_mine = self.placing && job.owner.as_deref() == Some(&me);
+            if mine && !was_mine && job.stamp < view_stamp {
+                job.adopting = true;
+            }
+            taken |= mine && job.adopting;
+            if was_mine && !mine {
+                lost.push(id.clone());
+            }
+            job.owner = owner;
+        }
+        for id in lost {
+            let on: Vec<String> =
+                self.jobs.get(&id).map(|j| j.on.values().cloned().collect()).unwrap_or_default();
+            for name in on {
+                self.drop_planned(&name, |t| t.job == id);
+            }
+        }
+        self.placing = self.in_view();
+        self.unresolved.clear();
+        if taken {
+            // Only machines that somebody holds can run anything.
+            let used = self.machines.iter().filter(|(_, m)| !m.unused());
+            self.unresolved = used.map(|(name, _)| name.clone()).collect();
+        }
+        tracing::info!(members = ?self.view.members, unresolved = self.unresolved.len(), "new view");
+        self.soon_status();
+        self.place_due = true;
+    }
+
+    pub(super) fn owns(&self, machine: &Machine) -> bool {
+        let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
+        machine.row.owner == self.settings.member && machine.row.node == stamp
+    }
+
+    /// Replaces what is known of the tasks on a machine, keeping the jobs' index in step.
+    pub(super) fn set_tasks(&mut self, name: &str, tasks: std::collections::BTreeMap<TaskId, TaskOn>) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let before = std::mem::replace(&mut machine.tasks, tasks);
+        let after = &machine.tasks;
+        for id in before.keys().filter(|id| !after.contains_key(*id)) {
+            if let Some(job) = self.jobs.get_mut(&id.job)
+                && job.on.get(&id.index).is_some_and(|m| m == name)
+            {
+                job.on.remove(&id.index);
+                job.next = job.next.min(id.index);
+            }
+        }
+        for id in after.keys() {
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                job.on.insert(id.index, name.to_owned());
+            }
+        }
+    }
+
+    pub(super) fn need_of(&self, job: &str) -> Resources {
+        self.jobs.get(job).map(|j| j.spec.need()).unwrap_or_default()
+    }
+
+    pub(super) fn soon_status(&mut self) {
+        let at = self.now + Micros::from_millis(150);
+        self.status_due = Some(self.status_due.map_or(at, |due| due.min(at)));
+    }
+
+    pub(super) fn send_status(&mut self) {
+        self.status_due = None;
+        self.status_sent = self.now;
+        let status = self.status();
+        if let Some(me) = self.lead.is_some().then(|| status.clone()) {
+            let own = self.settings.member.clone();
+            self.peers.insert(own, super::Peer { heard: self.now, status: Some(me) });
+        }
+        self.effects.push(Effect::Send(None, PeerMessage::Status(status)));
+    }
+
+    fn status(&self) -> Status {
+        let machines = self.machines.values().filter(|m| self.owns(m));
+        let machines = machines.map(|m| MachineStatus {
+            machine: m.row.machine.clone(),
+            token: m.row.token,
+            resolved: m.resolved,
+            up: m.up,
+            apart: m.apart,
+            notice: m.notice,
+            idle_s: if m.idle() { self.now.since(m.idle_since).as_secs_f64() as u32 } else { 0 },
+            dark_s: self.now.since(m.heard.unwrap_or(m.since)).as_secs_f64() as u32,
+            tasks: m
+                .tasks
+                .iter()
+                .map(|(id, t)| TaskStatus {
+                    task: id.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    cause: t.cause,
+                })
+                .collect(),
+        });
+        Status {
+            applied: self.applied,
+            stamp: self.lease.as_ref().map_or(0, |l| l.stamp),
+            store_ok: self.now.since(self.store_heard) < Micros::from_secs(2),
+            adopted: self.unresolved.is_empty() && self.in_view(),
+            usage: self.usage(),
+            machines: machines.collect(),
+            stops: self.foreign_stops(),
+        }
+    }
+
+    pub(super) fn peer_said(&mut self, from: String, message: PeerMessage) {
+        if self.phase != Phase::Active {
+            return;
+        }
+        match message {
+            PeerMessage::Status(status) => self.peer_status(from, status),
+            PeerMessage::Volumes { leader, volumes, .. } => {
+                if self.leader.as_ref().is_some_and(|l| l.0 == from && l.2 == leader) {
+                    self.take_volumes(volumes);
+                }
+            }
+            PeerMessage::Stray { machine, kind, zone, spot } => self.stray(machine, kind, zone, spot),
+        }
+    }
+
+    fn peer_status(&mut self, from: String, mut status: Status) {
+        // Words of a former life, or of a life this controller has not heard of yet, count for nothing.
+        if self.nodes.get(&from) != Some(&status.stamp) {
+            return;
+        }
+        let stops = std::mem::take(&mut status.stops);
+        for stop in stops {
+            self.request_stop(&stop.machine, &stop.task, stop.attempt, Micros::from_millis(stop.grace_ms));
+        }
+        for told in std::mem::take(&mut status.machines) {
+            self.machine_told(&from, status.applied, status.stamp, told);
+        }
+        self.peers.insert(from, super::Peer { heard: self.now, status: Some(status) });
+        self.check_adoption();
+        self.place_due = true;
+    }
+
+    fn machine_told(&mut self, from: &str, applied: u64, node: u64, told: MachineStatus) {
+        let Some(machine) = self.machines.get(&told.machine) else { return };
+        if machine.row.token != told.token || machine.row.owner != from || machine.row.node != node {
+            return;
+        }
+        let mut seen = std::collections::BTreeMap::new();
+        let mut completed = Vec::new();
+        for t in told.tasks {
+            if t.state == TaskState::Ended && t.cause == Some(crate::protocol::worker::Cause::Done) {
+                completed.push(t.task.clone());
+            }
+            let on = TaskOn {
+                attempt: t.attempt,
+                state: t.state,
+                cause: t.cause,
+                need: self.need_of(&t.task.job),
+                pending: None,
+                stop: machine.tasks.get(&t.task).and_then(|o| o.stop),
+                since: machine.tasks.get(&t.task).map_or(self.now, |o| o.since),
+            };
+            if let Some(job) = self.jobs.get_mut(&t.task.job) {
+                job.attempt = job.attempt.max(t.attempt);
+            }
+            seen.insert(t.task, on);
+        }
+        if !told.resolved {
+            // Until the list is complete, what may be there stays.
+            for (id, t) in &machine.tasks {
+                seen.entry(id.clone()).or_insert_with(|| t.clone());
+            }
+        }
+        self.set_tasks(&told.machine, seen);
+        if let Some(machine) = self.machines.get_mut(&told.machine) {
+            machine.resolved = told.resolved;
+            machine.spoken = applied;
+            machine.up = told.up;
+            machine.apart = told.apart;
+            machine.notice = told.notice;
+            machine.dark_s = told.dark_s;
+            machine.idle_since = self.now.since(Micros::from_secs(u64::from(told.idle_s)));
+        }
+        for task in completed {
+            self.completed(&task);
+        }
+    }
+
+    /// Jobs taken over may be started once every machine that could run them is accounted for.
+    pub(super) fn check_adoption(&mut self) {
+        if self.unresolved.is_empty() {
+            return;
+        }
+        let view = self.view_stamp;
+        let open: Vec<String> = self
+            .unresolved
+            .iter()
+            .filter(|name| {
+                self.machines.get(*name).is_some_and(|m| {
+                    if self.owns(m) { !m.resolved } else { !(m.resolved && m.spoken >= view) }
+                })
+            })
+            .cloned()
+            .collect();
+        self.unresolved = open.into_iter().collect();
+        if self.unresolved.is_empty() {
+            let me = self.settings.member.clone();
+            let mut count = 0;
+            for job in self.jobs.values_mut().filter(|j| j.owner.as_deref() == Some(&me)) {
+                count += usize::from(std::mem::take(&mut job.adopting));
+            }
+            tracing::info!(jobs = count, "took over");
+            self.soon_status();
+            self.place_due = true;
+        }
+    }
+
+    /// A view of the completions that the store has of a job.
+    pub(super) fn is_stored(&self, task: &TaskId) -> bool {
+        let stored = |j: &Job| -> bool { TaskSet::contains(&j.stored, task.index) };
+        self.jobs.get(&task.job).is_none_or(stored)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the design's promise that a controller's end moves only its own jobs.
+    #[test]
+    fn losing_a_member_moves_only_its_jobs_and_shares_are_even() {
+        let all = ["a", "b", "c"];
+        let mut counts = [0; 3];
+        for n in 0..6_000 {
+            let job = format!("j-{n:06}");
+            let owner = rendezvous(&job, all.into_iter()).unwrap();
+            counts[all.iter().position(|m| *m == owner).unwrap()] += 1;
+            let without_c = rendezvous(&job, ["a", "b"].into_iter()).unwrap();
+            assert!(owner == "c" || owner == without_c);
+        }
+        assert!(counts.iter().all(|c| (1_800..2_200).contains(c)), "{counts:?}");
+    }
+}
--- /dev/null
+++ b/src/coordination/volumes.rs
@@ -0,0 +1,106 @@
+//! Fair volumes (the paper's section 3.1): v = max(1, min(d, alpha * p)), with alpha by bisection.
+//!
+//! The paper gives every job of m equal processes a whole number of them. Here a task of one job may
+//! be larger than a task of another, so each job has a `size` and the volumes' sizes sum to m.
+
+/// One job's claim on a pool.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    pub priority: f64,
+    /// Most tasks it can use.
+    pub demand: u32,
+    /// Fewest tasks it is given once admitted: 1, or all of a gang.
+    pub floor: u32,
+    /// What one task takes of the pool.
+    pub size: f64,
+}
+
+impl Claim {
+    fn at(&self, alpha: f64) -> f64 {
+        (alpha * self.priority).min(f64::from(self.demand)).max(f64::from(self.floor.min(self.demand)))
+    }
+}
+
+/// Shares `supply` among admitted claims, given in order of precedence for leftovers.
+///
+/// Every claim gets its floor, even where the floors alone exceed the supply: admission is the
+/// caller's business.
+pub fn share(claims: &[Claim], supply: f64) -> Vec<u32> {
+    let used = |alpha: f64| claims.iter().map(|c| c.at(alpha) * c.size).sum::<f64>();
+    let top = claims.iter().map(|c| f64::from(c.demand) / c.priority).fold(0.0, f64::max);
+    if used(top) <= supply {
+        return claims.iter().map(|c| c.demand).collect();
+    }
+    let (mut low, mut high) = (0.0, top);
+    for _ in 0..60 {
+        let middle = (low + high) / 2.0;
+        if used(middle) <= supply { low = middle } else { high = middle }
+    }
+    let mut volumes: Vec<u32> = claims.iter().map(|c| (c.at(low) + 1e-9).floor() as u32).collect();
+    let mut left = supply - claims.iter().zip(&volumes).map(|(c, v)| c.size * f64::from(*v)).sum::<f64>();
+    // Leftover units go one each, by priority, to those below their demand.
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    order.sort_by(|a, b| claims[*b].priority.total_cmp(&claims[*a].priority));
+    for i in order {
+        if volumes[i] < claims[i].demand && claims[i].size <= left + 1e-9 {
+            volumes[i] += 1;
+            left -= claims[i].size;
+        }
+    }
+    volumes
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+    use super::*;
+
+    /// The paper's C1 to C3 on random claims of unit size with floors of one.
+    #[test]
+    fn volumes_keep_the_papers_three_conditions() {
+        for seed in 0..400 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let n = rng.random_range(1..30usize);
+            let supply = n as u32 + rng.random_range(0..200);
+            let claims: Vec<Claim> = (0..n)
+                .map(|_| Claim {
+                    priority: [1.0, 4.0, 16.0, 64.0][rng.random_range(0..4)],
+                    demand: rng.random_range(1..40),
+                    floor: 1,
+                    size: 1.0,
+                })
+                .collect();
+            let volumes = share(&claims, f64::from(supply));
+            let total: u32 = volumes.iter().sum();
+            let satisfied = claims.iter().zip(&volumes).all(|(c, v)| *v == c.demand);
+            assert!(satisfied || total == supply, "C1: {total} of {supply}, seed {seed}");
+            for (c, v) in claims.iter().zip(&volumes) {
+                assert!((1..=c.demand).contains(v), "C2, seed {seed}");
+            }
+            for (a, va) in claims.iter().zip(&volumes) {
+                for (b, vb) in claims.iter().zip(&volumes) {
+                    if a.priority >= b.priority && *va < a.demand && *vb > 1 {
+                        let fair = f64::from(*vb - 1) * a.priority / b.priority;
+                        assert!(f64::from(*va) + 1.0 >= fair, "C3: {va} against {vb}, seed {seed}");
+                    }
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_papers_example_comes_out() {
+        let claim = |priority, demand| Claim { priority, demand, floor: 1, size: 1.0 };
+        // Alpha 0.8: shares 0.8 (raised to 1), 1.6, 2.4 and a cap of 2.
+        let claims = [claim(1.0, 4), claim(2.0, 5), claim(3.0, 5), claim(4.0, 2)];
+        assert_eq!(share(&claims, 7.0), [1, 1, 3, 2]);
+    }
+
+    #[test]
+    fn gangs_are_given_whole() {
+        let gang = Claim { priority: 1.0, demand: 8, floor: 8, size: 2.0 };
+        let array = Claim { priority: 4.0, demand: 50, floor: 1, size: 1.0 };
+        assert_eq!(share(&[gang, array], 30.0), [8, 14]);
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,55 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+use marblewalk::cli::Cli;
+use marblewalk::settings::{Settings, SettingsError, Tuning};
+use marblewalk::transport::runtime;
+use tokio_util::sync::CancellationToken;
+
+/// Logs as much as `LOG_LEVEL` says, to standard error.
+fn start_logging() {
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("error") => tracing::Level::ERROR,
+        Ok("warn") => tracing::Level::WARN,
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("trace") => tracing::Level::TRACE,
+        _ => tracing::Level::INFO,
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .init();
+}
+
+fn load(cli: &Cli) -> Result<(Settings, Tuning), SettingsError> {
+    let settings = Settings::load(&cli.config)?;
+    let tuning = cli.tuning.as_deref().map(Tuning::load).transpose()?.unwrap_or_default();
+    Ok((settings, tuning))
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (settings, tuning) = match load(&cli) {
+        Ok(loaded) => loaded,
+        Err(e) => {
+            eprintln!("marblewalk: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if cli.check {
+        println!("{}: settings are sound", settings.member);
+        return ExitCode::SUCCESS;
+    }
+    start_logging();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = runtime.and_then(|r| r.block_on(runtime::run(settings, tuning, CancellationToken::new())));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("marblewalk: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,8 @@
+//! What travels between marblewalk and its surroundings, and between its controllers.
+
+pub mod cloud;
+pub mod job;
+pub mod peer;
+pub mod store;
+pub mod units;
+pub mod worker;
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,73 @@
+//! What controllers tell each other, as `bitcode` frames.
+
+use bitcode::{Decode, Encode};
+
+use super::worker::{Cause, TaskId, TaskState};
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct TaskStatus {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub state: TaskState,
+    pub cause: Option<Cause>,
+}
+
+/// A machine as its owner knows it.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct MachineStatus {
+    pub machine: String,
+    /// The grant under which this was learned.
+    pub token: u64,
+    /// The list of tasks is complete: nothing older can still change it.
+    pub resolved: bool,
+    pub up: bool,
+    pub apart: bool,
+    pub notice: bool,
+    /// Seconds since anything ran here, and since the last report.
+    pub idle_s: u32,
+    pub dark_s: u32,
+    pub tasks: Vec<TaskStatus>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct StopRequest {
+    pub machine: String,
+    pub task: TaskId,
+    pub attempt: u64,
+    pub grace_ms: u64,
+}
+
+/// The regular message from one controller to all others.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Status {
+    /// Revision up to which the sender has applied the store's changes.
+    pub applied: u64,
+    /// The sender's registration, which is also its entitlement.
+    pub stamp: u64,
+    /// The sender reached the store a moment ago.
+    pub store_ok: bool,
+    /// All that the sender took over is accounted for.
+    pub adopted: bool,
+    /// Per limited team: processors and accelerators in use by the sender's jobs.
+    pub usage: Vec<(String, u64, u64)>,
+    pub machines: Vec<MachineStatus>,
+    pub stops: Vec<StopRequest>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerMessage {
+    Status(Status),
+    /// The leader's volumes, one for each admitted job.
+    Volumes {
+        leader: u64,
+        round: u64,
+        volumes: Vec<(String, u32)>,
+    },
+    /// A machine that reports but is not in any block.
+    Stray {
+        machine: String,
+        kind: String,
+        zone: String,
+        spot: bool,
+    },
+}
--- /dev/null
+++ b/src/protocol/units.rs
@@ -0,0 +1,107 @@
+//! Newtypes for times and amounts. Times are whole microseconds throughout.
+
+use std::ops::{Add, AddAssign, Sub};
+
+use bitcode::{Decode, Encode};
+
+/// A span of time, or an instant on a process's own steady clock, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    pub const ZERO: Micros = Micros(0);
+    pub const MAX: Micros = Micros(u64::MAX);
+
+    pub const fn from_millis(ms: u64) -> Self {
+        Micros(ms * 1_000)
+    }
+
+    pub const fn from_secs(s: u64) -> Self {
+        Micros(s * 1_000_000)
+    }
+
+    /// Converts seconds as the protocols carry them; nonsense becomes zero, too much saturates.
+    pub fn from_secs_f64(s: f64) -> Self {
+        Micros((s * 1e6).round().max(0.0) as u64)
+    }
+
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    pub fn mul_f64(self, factor: f64) -> Self {
+        Micros((self.0 as f64 * factor).round() as u64)
+    }
+
+    pub fn since(self, earlier: Micros) -> Micros {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, rhs: Micros) -> Micros {
+        Micros(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Micros {
+    fn add_assign(&mut self, rhs: Micros) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Micros {
+    type Output = Micros;
+    fn sub(self, rhs: Micros) -> Micros {
+        self.since(rhs)
+    }
+}
+
+/// Amounts of processor, accelerator and memory, in thousandths so that sums are exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Resources {
+    pub cpu: u64,
+    pub gpu: u64,
+    pub memory: u64,
+}
+
+impl Resources {
+    /// What a task needs: rounded up to a thousandth.
+    pub fn need(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let up = |x: f64| (x * 1e3 - 1e-6).ceil().max(0.0) as u64;
+        Resources { cpu: up(cpus), gpu: up(gpus), memory: up(memory_gb) }
+    }
+
+    /// What a machine has: rounded down to a thousandth.
+    pub fn supply(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        let down = |x: f64| (x * 1e3 + 1e-6).floor().max(0.0) as u64;
+        Resources { cpu: down(cpus), gpu: down(gpus), memory: down(memory_gb) }
+    }
+
+    pub fn fits(self, room: Resources) -> bool {
+        self.cpu <= room.cpu && self.gpu <= room.gpu && self.memory <= room.memory
+    }
+
+    pub fn plus(self, o: Resources) -> Resources {
+        Resources { cpu: self.cpu + o.cpu, gpu: self.gpu + o.gpu, memory: self.memory + o.memory }
+    }
+
+    pub fn minus(self, o: Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.saturating_sub(o.cpu),
+            gpu: self.gpu.saturating_sub(o.gpu),
+            memory: self.memory.saturating_sub(o.memory),
+        }
+    }
+
+    /// How many times this need goes into `room`.
+    pub fn times_in(self, room: Resources) -> u64 {
+        let per = |need: u64, has: u64| has.checked_div(need).unwrap_or(u64::MAX);
+        per(self.cpu, room.cpu).min(per(self.gpu, room.gpu)).min(per(self.memory, room.memory)).min(1 << 20)
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,323 @@
+//! The platform's settings file, and the operators' own.
+
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::protocol::units::Micros;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("{path}: {message}")]
+    Parse { path: String, message: String },
+    #[error("{field}: {problem}")]
+    Value { field: String, problem: &'static str },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    pub zone: String,
+    pub api_addr: String,
+    pub internal_addr: String,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub external: External,
+    pub params: Params,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub member: String,
+    #[serde(default)]
+    pub zone: String,
+    pub addr: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct External {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Params {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: MachineLimits,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct MachineLimits {
+    pub sockets: usize,
+}
+
+/// What operators may set for themselves. Every value has a default.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tuning {
+    /// Seconds between the leader's regular rounds.
+    pub round_s: f64,
+    /// Seconds a job sits below its volume before a surplus task elsewhere is stopped.
+    pub surplus_wait_s: f64,
+    /// Seconds a machine may stay idle before it is returned.
+    pub idle_return_s: f64,
+    /// Seconds a block lease lasts; 0: what `cancel_s` and `lease_s` leave room for.
+    pub block_lease_s: f64,
+    /// Final states kept in memory.
+    pub final_cache: usize,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            round_s: 2.0,
+            surplus_wait_s: 20.0,
+            idle_return_s: 30.0,
+            block_lease_s: 0.0,
+            final_cache: 20_000,
+        }
+    }
+}
+
+fn read<T: for<'a> Deserialize<'a>>(path: &Path) -> Result<T, SettingsError> {
+    let name = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: name.clone(), source })?;
+    toml::from_str(&text).map_err(|e| {
+        // The message names the field; the excerpt that follows it would span lines.
+        let line = e.span().map(|s| text[..s.start].lines().count().max(1)).unwrap_or(1);
+        let message = format!("line {line}: {}", e.message().replace('\n', " "));
+        SettingsError::Parse { path: name, message }
+    })
+}
+
+impl Tuning {
+    pub fn load(path: &Path) -> Result<Tuning, SettingsError> {
+        let tuning: Tuning = read(path)?;
+        for (field, value, least) in [
+            ("round_s", tuning.round_s, 0.1),
+            ("surplus_wait_s", tuning.surplus_wait_s, 0.0),
+            ("idle_return_s", tuning.idle_return_s, 0.0),
+            ("block_lease_s", tuning.block_lease_s, 0.0),
+        ] {
+            in_range(field, value, least, 86_400.0)?;
+        }
+        Ok(tuning)
+    }
+}
+
+fn in_range(field: &str, value: f64, least: f64, most: f64) -> Result<(), SettingsError> {
+    if value.is_finite() && (least..=most).contains(&value) {
+        Ok(())
+    } else {
+        Err(SettingsError::Value { field: field.to_owned(), problem: "out of range" })
+    }
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let settings: Settings = read(path)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let bad = |field: &str, problem| Err(SettingsError::Value { field: field.to_owned(), problem });
+        let mut addrs = vec![
+            ("api_addr".to_owned(), &self.api_addr),
+            ("internal_addr".to_owned(), &self.internal_addr),
+            ("external.cloud".to_owned(), &self.external.cloud),
+            ("external.state".to_owned(), &self.external.state),
+        ];
+        for m in &self.members {
+            addrs.push((format!("members.{}.addr", m.member), &m.addr));
+        }
+        for (field, addr) in addrs {
+            if addr.parse::<std::net::SocketAddr>().is_err() {
+                return bad(&field, "not an IP address and port");
+            }
+        }
+        if self.member.is_empty() || self.member.contains(char::is_whitespace) {
+            return bad("member", "empty or with spaces");
+        }
+        let w = &self.params.workers;
+        for (field, value) in [
+            ("params.workers.report_s", w.report_s),
+            ("params.workers.lease_s", w.lease_s),
+            ("params.workers.gang_wait_s", w.gang_wait_s),
+            ("params.workers.gang_peer_s", w.gang_peer_s),
+            ("params.workers.cancel_s", w.cancel_s),
+            ("params.cloud.rps", self.params.cloud.rps),
+            ("params.state.rps", self.params.state.rps),
+            ("params.state.write_rps", self.params.state.write_rps),
+            ("params.state.value_kb", self.params.state.value_kb),
+        ] {
+            in_range(field, value, 0.01, 1e6)?;
+        }
+        in_range("params.cloud.list_lag_s", self.params.cloud.list_lag_s, 0.0, 1e6)?;
+        if self.params.state.txn_ops < 6 {
+            return bad("params.state.txn_ops", "fewer than the 6 changes that a grant may need");
+        }
+        if self.params.machine_limits.sockets < 32 {
+            return bad("params.machine_limits.sockets", "fewer than 32");
+        }
+        for t in &self.params.teams {
+            for (field, value) in
+                [("cpus", t.cpus), ("cpus_max", t.cpus_max), ("gpus", t.gpus), ("gpus_max", t.gpus_max)]
+            {
+                in_range(&format!("params.teams.{}.{field}", t.name), value, 0.0, 1e9)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// All controllers, this one included, in a fixed order.
+    pub fn everyone(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.members.iter().map(|m| m.member.clone()).collect();
+        all.push(self.member.clone());
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// How long a controller's lease lasts: a cut-off controller must have fallen silent, and its
+    /// workers' leases run out, well before a cancellation is due.
+    pub fn lease(&self, tuning: &Tuning) -> Micros {
+        let w = &self.params.workers;
+        if tuning.block_lease_s > 0.0 {
+            return Micros::from_secs_f64(tuning.block_lease_s);
+        }
+        Micros::from_secs_f64(((w.cancel_s - w.lease_s) * 0.5).clamp(4.0, 10.0))
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+member = "n-0"
+zone = "east"
+api_addr = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+novelty = true
+[[members]]
+member = "n-1"
+zone = "west"
+addr = "10.0.0.2:8081"
+[[members]]
+member = "n-2"
+zone = "west"
+addr = "10.0.0.3:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+zones = ["east", "west"]
+[[params.teams]]
+name = "blue"
+cpus = 0.0
+cpus_max = 40.0
+[[params.teams]]
+name = "green"
+[params.workers]
+report_s = 2.5
+lease_s = 14.0
+gang_wait_s = 45.0
+gang_peer_s = 4.0
+cancel_s = 34.0
+[params.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[params.machine_limits]
+sockets = 700
+"#;
+
+    #[test]
+    fn the_platforms_file_may_grow_but_not_lie() {
+        let good: Settings = toml::from_str(SAMPLE).unwrap();
+        good.check().unwrap();
+        assert_eq!(good.everyone(), ["n-0", "n-1", "n-2"]);
+        for (from, to, field) in [
+            ("rps = 120.0", "rps = -1.0", "params.state.rps"),
+            ("lease_s = 14.0", "lease_s = nan", "params.workers.lease_s"),
+            ("txn_ops = 12", "txn_ops = 2", "params.state.txn_ops"),
+            ("10.0.0.3:8081", "elsewhere", "members.n-2.addr"),
+        ] {
+            let bad: Settings = toml::from_str(&SAMPLE.replace(from, to)).unwrap();
+            let message = bad.check().unwrap_err().to_string();
+            assert!(message.starts_with(field), "{message}");
+        }
+        let missing = toml::from_str::<Settings>(&SAMPLE.replace("lease_s = 14.0", ""));
+        assert!(missing.unwrap_err().message().contains("lease_s"));
+    }
+
+    #[test]
+    fn operators_settings_reject_what_they_do_not_know() {
+        let tuning: Tuning = toml::from_str("round_s = 1.0").unwrap();
+        assert_eq!((tuning.round_s, tuning.surplus_wait_s), (1.0, 20.0));
+        assert!(toml::from_str::<Tuning>("rounds = 1.0").is_err());
+    }
+}
