Remember every place a task may be in, not just the latest

Cause: a job's index held one machine per task; while machines changed hands, an entry vanishing from one machine erased the entry of another, and the task was started again.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -297,7 +297,7 @@
             let spec = job.spec.clone();
             self.want_for(
                 &spec,
-                u.count.max(u64::from(job.unfinished().saturating_sub(job.on.len() as u32))),
+                u.count.max(u64::from(job.unfinished().saturating_sub(job.placed()))),
                 &mut coming,
                 &mut wanted,
             );
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -218,10 +218,10 @@
                 running: 0,
             };
         };
-        let running = job.on.iter().filter(|(index, machine)| {
+        let running = job.on.iter().filter(|(index, places)| {
             let task = crate::protocol::worker::TaskId::new(id, **index);
-            let on = self.machines.get(*machine).and_then(|m| m.tasks.get(&task));
-            on.is_some_and(|t| t.state == TaskState::Running && t.pending.is_none())
+            let mut tasks = places.iter().filter_map(|m| self.machines.get(m)?.tasks.get(&task));
+            tasks.any(|t| t.state == TaskState::Running && t.pending.is_none())
         });
         let running = running.count() as u32;
         let state = if running > 0 { JobState::Running } else { JobState::Queued };
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -382,7 +382,7 @@
         let mut order: Vec<(&String, &Job, u64)> = self
             .jobs
             .iter()
-            .map(|(id, j)| (id, j, u64::from(j.volume.saturating_sub(j.on.len() as u32))))
+            .map(|(id, j)| (id, j, u64::from(j.volume.saturating_sub(j.placed()))))
             .filter(|(_, j, short)| *short > 0 && j.held_until <= now)
             .collect();
         order.sort_by_key(|(_, j, _)| (std::cmp::Reverse(j.spec.priority), j.stamp));
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -53,6 +53,7 @@
 
     /// Updates what is known of a machine from its own words.
     fn take_report(&mut self, report: Report) {
+        tracing::trace!(?report, "report");
         let now = self.now;
         let name = report.machine;
         let mut seen: BTreeMap<TaskId, TaskOn> = BTreeMap::new();
@@ -182,7 +183,13 @@
     /// The answer to a report: all orders that are due on the machine.
     fn orders_for(&mut self, name: &str, session: u64, tally: u64) -> ReportAnswer {
         let mut orders = Vec::new();
-        let mut forgotten = Vec::new();
+        // A start that was planned and is no longer wanted has never been sent.
+        let unwanted: Vec<TaskId> = self
+            .machines
+            .get(name)
+            .map(|m| m.tasks.iter().filter(|(_, t)| t.stop.is_some()).map(|(id, _)| id.clone()).collect())
+            .unwrap_or_default();
+        self.drop_planned(name, |id| unwanted.contains(id));
         let live: BTreeMap<String, bool> = self
             .machines
             .get(name)
@@ -208,7 +215,6 @@
             if t.ended() {
                 if stored.contains(id) {
                     orders.push(Order::Forget { task: id.text(), attempt: t.attempt });
-                    forgotten.push(id.clone());
                 }
                 continue;
             }
@@ -228,21 +234,20 @@
                 });
             }
         }
-        machine.tasks.retain(|_, t| t.pending != Some(Pending::Planned) || t.stop.is_none());
         for (id, t) in &mut machine.tasks {
             if orders.len() >= MOST_ORDERS {
                 break;
             }
-            if t.pending == Some(Pending::Planned) {
+            if t.pending == Some(Pending::Planned) && t.stop.is_none() {
                 t.pending = Some(Pending::Sent { session, tally });
                 t.since = now;
                 self.counters.starts += 1;
+                tracing::debug!(machine = name, task = id.text(), attempt = t.attempt, tally, "run");
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
         }
         machine.answered = Some(now);
         let token = machine.row.token;
-        let _ = forgotten;
         ReportAnswer { token, orders }
     }
 
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -25,8 +25,9 @@
     pub writing: bool,
     pub completing: bool,
     pub retry_at: Micros,
-    /// Where its tasks are, or may be.
-    pub on: BTreeMap<u32, String>,
+    /// Where its tasks are, or may be. While machines change hands a task may be suspected in several
+    /// places, and leaving one of them must not make it forgotten in another.
+    pub on: BTreeMap<u32, Vec<String>>,
     pub volume: u32,
     /// No task below this number is left to start.
     pub next: u32,
@@ -67,6 +68,28 @@
         self.spec.tasks - self.done.len()
     }
 
+    pub fn put_on(&mut self, index: u32, machine: &str) {
+        let places = self.on.entry(index).or_default();
+        if !places.iter().any(|m| m == machine) {
+            places.push(machine.to_owned());
+        }
+    }
+
+    pub fn take_off(&mut self, index: u32, machine: &str) {
+        if let Some(places) = self.on.get_mut(&index) {
+            places.retain(|m| m != machine);
+            if places.is_empty() {
+                self.on.remove(&index);
+                self.next = self.next.min(index);
+            }
+        }
+    }
+
+    /// Tasks that are somewhere, or may be, and are not done.
+    pub fn placed(&self) -> u32 {
+        self.on.keys().filter(|index| !self.done.contains(**index)).count() as u32
+    }
+
     pub fn is_gang(&self) -> bool {
         self.spec.shape == Shape::Gang
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -36,19 +36,9 @@
         if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
     }
 
-    fn active(&self, id: &str, job: &Job) -> u32 {
-        let on = job.on.iter().filter(|(index, name)| {
-            let task = TaskId::new(id, **index);
-            self.machines.get(*name).and_then(|m| m.tasks.get(&task)).is_none_or(|t| !t.ended())
-        });
-        on.count() as u32
-    }
-
     /// Some own job could use a start; a cheap test made at every report.
     pub(super) fn has_waiting(&self) -> bool {
-        self.jobs
-            .values()
-            .any(|j| self.places(j) && (j.on.len() as u32) < self.wanted(j) && j.held_until <= self.now)
+        self.jobs.values().any(|j| self.places(j) && j.placed() < self.wanted(j) && j.held_until <= self.now)
     }
 
     /// Plans starts for all own jobs, the most urgent first.
@@ -58,7 +48,7 @@
         }
         let mut order: Vec<(u8, u64, String)> = Vec::new();
         for (id, job) in &self.jobs {
-            if self.places(job) && job.held_until <= self.now && (job.on.len() as u32) < self.wanted(job) {
+            if self.places(job) && job.held_until <= self.now && job.placed() < self.wanted(job) {
                 order.push((u8::MAX - job.spec.priority as u8, job.stamp, id.clone()));
             }
         }
@@ -89,7 +79,7 @@
             let started =
                 if gang { self.place_gang(&id, &mut rooms) } else { self.place_array(&id, &mut rooms) };
             planned += started;
-            let short = self.jobs.get(&id).is_some_and(|j| (j.on.len() as u32) < self.wanted(j));
+            let short = self.jobs.get(&id).is_some_and(|j| j.placed() < self.wanted(j));
             if short && held_back.is_none() {
                 held_back = Some(rank);
             }
@@ -103,7 +93,7 @@
     /// room for it.
     fn hold_room(&self, rooms: &mut BTreeMap<String, Resources>, rank: u8) {
         let waiting = self.jobs.values().filter(|j| {
-            u8::MAX - j.spec.priority as u8 <= rank && self.places(j) && (j.on.len() as u32) < self.wanted(j)
+            u8::MAX - j.spec.priority as u8 <= rank && self.places(j) && j.placed() < self.wanted(j)
         });
         for job in waiting {
             let best = rooms
@@ -131,8 +121,7 @@
     fn place_array(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let active = self.active(id, job);
-        let mut short = self.wanted(job).saturating_sub(active) as usize;
+        let mut short = self.wanted(job).saturating_sub(job.placed()) as usize;
         let mut index = job.next;
         let mut first_left = None;
         let mut starts: Vec<(u32, String)> = Vec::new();
@@ -250,7 +239,7 @@
             machine.idle_since = self.now;
         }
         if let Some(job) = self.jobs.get_mut(id) {
-            job.on.insert(index, name.to_owned());
+            job.put_on(index, name);
         }
     }
 
@@ -258,7 +247,7 @@
     fn zone_counts(&self, id: &str) -> BTreeMap<String, u32> {
         let mut counts = BTreeMap::new();
         if let Some(job) = self.jobs.get(id) {
-            for machine in job.on.values().filter_map(|name| self.machines.get(name)) {
+            for machine in job.on.values().flatten().filter_map(|name| self.machines.get(name)) {
                 *counts.entry(machine.row.zone.clone()).or_insert(0) += 1;
             }
         }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -91,6 +91,11 @@
             {
                 let mut job_state = Job::new(spec, stamp, self.now);
                 job_state.owner = self.owner_of(job);
+                for (name, machine) in &self.machines {
+                    for id in machine.tasks.keys().filter(|id| id.job == job) {
+                        job_state.put_on(id.index, name);
+                    }
+                }
                 self.jobs.insert(job.to_owned(), job_state);
                 self.soon_round();
             }
@@ -191,6 +196,7 @@
                 machine.row = row;
                 continue;
             }
+            tracing::debug!(machine = row.machine, owner = row.owner, token = row.token, "granted");
             machine.row = row;
             machine.stamp = stamp;
             machine.resolved = false;
@@ -250,7 +256,7 @@
         }
         for id in lost {
             let on: Vec<String> =
-                self.jobs.get(&id).map(|j| j.on.values().cloned().collect()).unwrap_or_default();
+                self.jobs.get(&id).map(|j| j.on.values().flatten().cloned().collect()).unwrap_or_default();
             for name in on {
                 self.drop_planned(&name, |t| t.job == id);
             }
@@ -278,16 +284,13 @@
         let before = std::mem::replace(&mut machine.tasks, tasks);
         let after = &machine.tasks;
         for id in before.keys().filter(|id| !after.contains_key(*id)) {
-            if let Some(job) = self.jobs.get_mut(&id.job)
-                && job.on.get(&id.index).is_some_and(|m| m == name)
-            {
-                job.on.remove(&id.index);
-                job.next = job.next.min(id.index);
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                job.take_off(id.index, name);
             }
         }
         for id in after.keys() {
             if let Some(job) = self.jobs.get_mut(&id.job) {
-                job.on.insert(id.index, name.to_owned());
+                job.put_on(id.index, name);
             }
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,8 @@
 use marblewalk::settings::{Settings, SettingsError, Tuning};
 use marblewalk::transport::runtime;
 use tokio_util::sync::CancellationToken;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::prelude::*;
 
 /// Logs as much as `LOG_LEVEL` says, to standard error.
 fn start_logging() {
@@ -15,12 +17,11 @@
         Ok("trace") => tracing::Level::TRACE,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .without_time()
-        .init();
+    // The libraries' own words only when something is wrong.
+    let levels =
+        Targets::new().with_default(tracing::Level::WARN.min(level)).with_target("marblewalk", level);
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false).without_time();
+    tracing_subscriber::registry().with(lines.with_filter(levels)).init();
 }
 
 fn load(cli: &Cli) -> Result<(Settings, Tuning), SettingsError> {
