--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -96,6 +96,8 @@
 /// What each controller's jobs may use at most of a limited team's share.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct QuotaRecord {
+    /// The view it was made for. A view that follows voids it: jobs have moved with their tasks.
+    pub view: u64,
     pub rows: Vec<Allotment>,
 }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -4,7 +4,7 @@
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
-use crate::coordination::model::Machine;
+use crate::coordination::model::{Job, Machine};
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
 use crate::protocol::job::JobSpec;
@@ -291,25 +291,24 @@
             coming.extend((0..r.count).map(|_| (r.kind.clone(), r.zone.clone(), r.spot, supply)));
         }
         let mut wanted: BTreeMap<(String, String, bool), f64> = BTreeMap::new();
-        let unplaced = lead.unplaced.clone();
-        for u in unplaced {
+        for u in &lead.unplaced {
             let Some(job) = self.jobs.get(&u.job) else { continue };
-            let spec = job.spec.clone();
-            self.want_for(
-                &spec,
-                u.count.max(u64::from(job.unfinished().saturating_sub(job.placed()))),
-                &mut coming,
-                &mut wanted,
-            );
+            let waiting = u64::from(job.unfinished().saturating_sub(job.placed()));
+            self.want_for(&job.spec, u.count.max(waiting), u.zones.as_ref(), &mut coming, &mut wanted);
         }
         // Jobs that were not admitted wait for machines too.
-        for job in self
-            .jobs
-            .values()
-            .filter(|j| j.volume == 0 && j.on.is_empty() && j.unfinished() > 0 && j.held_until <= now)
-        {
-            let spec = job.spec.clone();
-            self.want_for(&spec, u64::from(job.unfinished()), &mut coming, &mut wanted);
+        let waits = |j: &&Job| j.volume == 0 && j.on.is_empty() && j.unfinished() > 0 && j.held_until <= now;
+        for (id, job) in &self.jobs {
+            if waits(&job) {
+                let zones = self.zones_left(id, job, &BTreeMap::new());
+                self.want_for(
+                    &job.spec,
+                    u64::from(job.unfinished()),
+                    zones.as_ref(),
+                    &mut coming,
+                    &mut wanted,
+                );
+            }
         }
         self.want_guarantee(&coming, &mut wanted);
         let mut asked = false;
@@ -328,15 +327,34 @@
 
     /// Places of a job's tasks on machines that are coming; the rest is to be rented.
     fn want_for(
+        &self,
+        spec: &JobSpec,
+        count: u64,
+        zones: Option<&BTreeMap<String, u64>>,
+        coming: &mut [(String, String, bool, Resources)],
+        wanted: &mut BTreeMap<(String, String, bool), f64>,
+    ) {
+        let Some(zones) = zones else { return self.want_in(spec, count, None, coming, wanted) };
+        // A job that minds zones asks in those that may take its tasks, and in all if none is left.
+        let mut left = count;
+        for (zone, most) in zones.iter().filter(|(_, most)| **most > 0) {
+            let here = left.min(*most);
+            self.want_in(spec, here, Some(zone), coming, wanted);
+            left -= here;
+        }
+    }
+
+    fn want_in(
         &self,
         spec: &JobSpec,
         mut count: u64,
+        only: Option<&String>,
         coming: &mut [(String, String, bool, Resources)],
         wanted: &mut BTreeMap<(String, String, bool), f64>,
     ) {
         let need = spec.need();
         let type_ok = |kind: &String| spec.types.as_ref().is_none_or(|t| t.contains(kind));
-        let zone_ok = |zone: &String| spec.zone.as_ref().is_none_or(|z| z == zone);
+        let zone_ok = |zone: &String| spec.zone.as_ref().or(only).is_none_or(|z| z == zone);
         for (kind, zone, spot, room) in coming.iter_mut() {
             if type_ok(kind) && zone_ok(zone) && (spec.spot || !*spot) {
                 let n = need.times_in(*room).min(count);
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -70,7 +70,7 @@
         if over(need.cpu, team.cpus_max) || over(need.gpu, team.gpus_max) {
             return Some("more than the team's limit");
         }
-        if spec.spread && spec.one_zone && together > 1 {
+        if spec.spread && (spec.one_zone || spec.zone.is_some()) && together > 1 {
             return Some("tasks that must run together can't be both apart and in one zone");
         }
         None
@@ -198,7 +198,7 @@
             StoreReply::Committed { .. } => {
                 self.finals.insert(&job, Final::Withdrawn, tasks);
                 // Its tasks are ended wherever they are found, for no live job has them.
-                self.jobs.remove(&job);
+                self.retire(&job);
                 self.follow_at = self.follow_at.map(|_| self.now);
                 self.answer(request, final_answer(&job, Final::Withdrawn, tasks));
             }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -37,11 +37,13 @@
     pub cleaned: Micros,
 }
 
-/// Tasks of a job for which no machine is there.
+/// Tasks of a job for which no machine is there, and how many each zone may still take, where the
+/// job minds.
 #[derive(Clone, Debug)]
 pub(crate) struct Unplaced {
     pub job: String,
     pub count: u64,
+    pub zones: Option<BTreeMap<String, u64>>,
 }
 
 /// One task's share of its pool: processors, or accelerators. A machine that takes only one large
@@ -369,7 +371,11 @@
             if self.serving(m) {
                 rooms.insert(name, m.free());
                 held.insert(name, m.row.owner.clone());
-            } else if m.unused() && !m.row.returning && strays.is_some_and(|s| s.contains_key(name)) {
+            } else if m.unused()
+                && !m.row.returning
+                && strays.is_some_and(|s| s.contains_key(name))
+                && self.everyone_applied(m.stamp)
+            {
                 rooms.insert(name, m.supply);
                 held.insert(name, String::new());
                 fresh.insert(name.clone());
@@ -379,19 +385,21 @@
                 held.insert(name, m.row.owner.clone());
             }
         }
-        let mut order: Vec<(&String, &Job, u64)> = self
+        let mut order: Vec<(&String, &Job, u64, Option<BTreeMap<String, u64>>)> = self
             .jobs
             .iter()
-            .map(|(id, j)| (id, j, u64::from(j.volume.saturating_sub(j.placed()))))
-            .filter(|(_, j, short)| *short > 0 && j.held_until <= now)
+            .map(|(id, j)| {
+                (id, j, u64::from(j.volume.saturating_sub(j.placed())), self.zones_left(id, j, &rooms))
+            })
+            .filter(|(_, j, short, _)| *short > 0 && j.held_until <= now)
             .collect();
-        order.sort_by_key(|(_, j, _)| (std::cmp::Reverse(j.spec.priority), j.stamp));
+        order.sort_by_key(|(_, j, ..)| (std::cmp::Reverse(j.spec.priority), j.stamp));
         let mut moves: BTreeMap<String, String> = BTreeMap::new();
         let mut unplaced = Vec::new();
         let per_card = self.cpu_per_card();
         // First what owners can do with what they have, then what must change hands.
         for pass in 0..2 {
-            for (id, job, short) in &mut order {
+            for (id, job, short, zones) in &mut order {
                 let Some(owner) = &job.owner else { continue };
                 let need = job.spec.need();
                 let mut names: Vec<&str> = rooms
@@ -423,11 +431,15 @@
                     if job.spec.gpus == 0.0 && !machine.idle() {
                         room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
                     }
-                    let n = need.times_in(room).min(*short);
+                    let here = zones.as_mut().map(|z| z.entry(machine.row.zone.clone()).or_default());
+                    let n = need.times_in(room).min(*short).min(here.as_ref().map_or(u64::MAX, |h| **h));
                     if n == 0 {
                         continue;
                     }
                     *short -= n;
+                    if let Some(here) = here {
+                        *here -= n;
+                    }
                     let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
                     rooms.insert(name, rooms[name].minus(used));
                     if pass == 1 {
@@ -436,7 +448,7 @@
                     }
                 }
                 if pass == 1 && *short > 0 {
-                    unplaced.push(Unplaced { job: (*id).clone(), count: *short });
+                    unplaced.push(Unplaced { job: (*id).clone(), count: *short, zones: zones.clone() });
                 }
             }
         }
@@ -458,6 +470,39 @@
         (moves, known)
     }
 
+    /// How many more tasks of a job each zone may take; none if the job does not mind.
+    pub(super) fn zones_left(
+        &self,
+        id: &str,
+        job: &Job,
+        rooms: &BTreeMap<&str, Resources>,
+    ) -> Option<BTreeMap<String, u64>> {
+        let spec = &job.spec;
+        if !spec.one_zone && !spec.spread {
+            return None;
+        }
+        let counts = self.zone_counts(id);
+        if spec.spread {
+            let most = u64::from(spec.tasks.div_ceil(2));
+            let mut zones: Vec<String> = self.types.values().flat_map(|t| t.zones.clone()).collect();
+            zones.extend(counts.keys().cloned());
+            let left = |z: &String| most.saturating_sub(u64::from(counts.get(z).copied().unwrap_or(0)));
+            return Some(zones.into_iter().map(|z| (left(&z), z)).map(|(n, z)| (z, n)).collect());
+        }
+        if let Some(zone) = counts.keys().next() {
+            return Some([(zone.clone(), u64::MAX)].into());
+        }
+        let mut room: BTreeMap<String, u64> = BTreeMap::new();
+        for (name, free) in rooms {
+            let machine = &self.machines[*name];
+            if allows(spec, machine) {
+                *room.entry(machine.row.zone.clone()).or_default() += spec.need().times_in(*free);
+            }
+        }
+        let best = room.into_iter().filter(|(_, n)| *n > 0).max_by_key(|(_, n)| *n)?;
+        Some([(best.0, u64::MAX)].into())
+    }
+
     /// Machines that nobody's work asks for go where fewest of their type are, new ones at once and
     /// idle ones when the imbalance is marked, so that a new job's owner likely has room for it.
     fn spread_idle(
@@ -504,47 +549,39 @@
         }
     }
 
-    /// Divides limited teams' limits among the members. A shrink is confirmed before anyone grows:
-    /// what a member may use, or does use, stays counted until the member says otherwise.
+    /// Divides the limits that bind among the members. A shrink is confirmed before anyone grows, and
+    /// a new view starts from what is in use, once everything in use is accounted for.
     fn allot(&mut self) -> bool {
-        let teams: Vec<Team> = self
-            .settings
-            .params
-            .teams
-            .iter()
-            .filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
-            .cloned()
-            .collect();
-        if teams.is_empty() || self.view.members.is_empty() {
+        let teams: Vec<Team> = self.settings.params.teams.iter().filter(|t| self.binds(t)).cloned().collect();
+        if teams.is_empty() || self.view.members.is_empty() || !self.all_adopted() {
+            return false;
+        }
+        let fresh = self.quota.0.view != self.view_stamp
+            || teams.iter().any(|t| self.quota.0.rows.iter().all(|r| r.team != t.name));
+        // Before the first division everyone must have noticed that the limit binds.
+        let seen = if fresh { self.shards.values().map(|s| s.1).max().unwrap_or(0) } else { self.quota.1 };
+        if !self.everyone_applied(seen) {
             return false;
         }
-        let stamp = self.quota.1;
         let mut rows = Vec::new();
         for team in &teams {
-            let cpu = self.divide(team, team.cpus_max, false);
-            let gpu = self.divide(team, team.gpus_max, true);
+            let cpu = self.divide(team, team.cpus_max, false, fresh);
+            let gpu = self.divide(team, team.gpus_max, true, fresh);
             for (i, (member, node)) in self.view.members.iter().enumerate() {
-                rows.push(Allotment {
-                    member: member.clone(),
-                    node: *node,
-                    team: team.name.clone(),
-                    cpu: cpu[i],
-                    gpu: gpu[i],
-                });
+                let (member, team) = (member.clone(), team.name.clone());
+                rows.push(Allotment { member, node: *node, team, cpu: cpu[i], gpu: gpu[i] });
             }
-            // A controller that left: its tasks may run until someone has accounted for them.
-            let ghosts = self.quota.0.rows.iter().filter(|r| r.team == team.name && self.is_ghost(r));
-            rows.extend(ghosts.cloned());
         }
-        if rows == self.quota.0.rows {
+        let record = QuotaRecord { view: self.view_stamp, rows };
+        if record == self.quota.0 {
             return false;
         }
         let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
-        let Ok(value) = serde_json::to_value(QuotaRecord { rows }) else { return false };
+        let Ok(value) = serde_json::to_value(record) else { return false };
         let transaction = Transaction {
             conditions: vec![
                 Condition::new(records::LEADER, leader_stamp),
-                Condition::new(records::QUOTA, stamp),
+                Condition::new(records::QUOTA, self.quota.1),
                 Condition::new(records::VIEW, self.view_stamp),
                 self.entitlement(),
             ],
@@ -557,75 +594,54 @@
         true
     }
 
-    fn is_ghost(&self, row: &Allotment) -> bool {
-        let member = (row.member.clone(), row.node);
-        !self.view.members.contains(&member) && !self.all_adopted()
+    /// The last word of a member's present life.
+    fn word_of(&self, member: &str, node: u64) -> Option<&crate::protocol::peer::Status> {
+        self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == node)
     }
 
     /// Every member has accounted for what it took over in the present view.
     fn all_adopted(&self) -> bool {
-        self.view.members.iter().all(|(m, node)| {
-            self.peers
-                .get(m)
-                .and_then(|p| p.status.as_ref())
-                .is_some_and(|s| s.stamp == *node && s.adopted && s.applied >= self.view_stamp)
-        })
+        let done =
+            |m: &str, node| self.word_of(m, node).is_some_and(|s| s.adopted && s.applied >= self.view_stamp);
+        self.view.members.iter().all(|(m, node)| done(m, *node))
+    }
+
+    /// Every registered controller has said that it has seen this revision.
+    pub(super) fn everyone_applied(&self, revision: u64) -> bool {
+        let seen = |m: &str, node| self.word_of(m, node).is_some_and(|s| s.applied >= revision);
+        self.nodes.iter().all(|(m, node)| (m == self.me() && self.applied >= revision) || seen(m, *node))
     }
 
-    fn divide(&self, team: &Team, limit: f64, gpu: bool) -> Vec<u64> {
+    fn divide(&self, team: &Team, limit: f64, gpu: bool, fresh: bool) -> Vec<u64> {
         let limit = (limit * 1e3) as u64;
         let amount = |need: Resources| if gpu { need.gpu } else { need.cpu };
-        let members = &self.view.members;
-        let rows = &self.quota.0.rows;
-        let of = |r: &Allotment| if gpu { r.gpu } else { r.cpu };
-        // What is bound: the greater of the allotment a member may still act on and its use.
-        let mut bound = Vec::new();
-        let mut current = Vec::new();
-        let mut use_now = Vec::new();
+        let mut next = Vec::new();
+        let mut used = Vec::new();
         let mut wishes = Vec::new();
-        for (member, node) in members {
-            let row = rows.iter().find(|r| r.member == *member && r.node == *node && r.team == team.name);
-            let status = self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == *node);
-            let used = status
-                .and_then(|s| s.usage.iter().find(|u| u.0 == team.name))
-                .map_or(0, |u| if gpu { u.2 } else { u.1 });
-            let seen = status.is_some_and(|s| s.applied >= self.quota.1);
-            let has = row.map_or(0, of);
-            current.push(has);
-            use_now.push(used);
-            // An allotment not yet confirmed may be smaller than the one acted on.
-            bound.push(if seen { has.max(used) } else { has.max(used).max(limit) });
-            let wish: u64 = self
-                .jobs
-                .values()
-                .filter(|j| j.owner.as_deref() == Some(member) && j.spec.team == team.name)
-                .map(|j| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32)))
-                .sum();
-            wishes.push(wish);
-        }
-        let ghosts: u64 = rows.iter().filter(|r| r.team == team.name && self.is_ghost(r)).map(of).sum();
-        let first = rows.iter().all(|r| r.team != team.name);
-        if first {
-            return vec![limit / members.len().max(1) as u64; members.len()];
-        }
-        let total: u64 = bound.iter().sum::<u64>().saturating_add(ghosts);
-        let mut spare = limit.saturating_sub(total);
-        let mut next = current.clone();
-        let lacking: u64 = (0..next.len()).map(|i| wishes[i].saturating_sub(current[i])).sum();
+        for (member, node) in &self.view.members {
+            let mine = |r: &&Allotment| r.member == *member && r.node == *node && r.team == team.name;
+            let has = self.quota.0.rows.iter().find(mine).map_or(0, |r| if gpu { r.gpu } else { r.cpu });
+            let word = self.word_of(member, *node).and_then(|s| s.usage.iter().find(|u| u.0 == team.name));
+            let uses = word.map_or(0, |u| if gpu { u.2 } else { u.1 });
+            next.push(if fresh { uses } else { has });
+            used.push(uses);
+            let owned = |j: &&Job| j.owner.as_deref() == Some(member) && j.spec.team == team.name;
+            let wish = |j: &Job| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32));
+            wishes.push(self.jobs.values().filter(owned).map(wish).sum::<u64>());
+        }
+        // What a member may use, or uses all the same, cannot be given to another.
+        let bound: u64 = next.iter().zip(&used).map(|(n, u)| n.max(u)).sum();
+        let mut spare = limit.saturating_sub(bound);
+        let lacking: u64 = next.iter().zip(&wishes).map(|(n, w)| w.saturating_sub(*n)).sum();
+        let scarce = lacking > spare;
         for i in 0..next.len() {
-            if wishes[i] > next[i] && spare > 0 {
+            if wishes[i] > next[i] {
                 let grow = (wishes[i] - next[i]).min(spare);
                 next[i] += grow;
                 spare -= grow;
-            }
-        }
-        if lacking > limit.saturating_sub(total) {
-            // Someone lacks room: those with more than they wish give the excess up.
-            for i in 0..next.len() {
-                let keep = wishes[i].max(use_now[i]);
-                if current[i] > keep + keep / 8 {
-                    next[i] = next[i].min(keep);
-                }
+            } else if scarce {
+                // Others lack room: what is not wished for is given up, for the next division.
+                next[i] = next[i].min(wishes[i].max(used[i]));
             }
         }
         next
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -309,6 +309,9 @@
 
     /// Notices machines that have been silent for so long that their tasks are certainly gone.
     pub(super) fn machines_tick(&mut self) {
+        self.stop_gangs();
+        let machines = &self.machines;
+        self.retired.retain(|id, _| machines.values().any(|m| m.tasks.keys().any(|t| t.job == *id)));
         let silence = self.worker_lease + self.worker_lease.mul_f64(DRIFT) + SLACK + SLACK;
         let names: Vec<String> =
             self.machines.iter().filter(|(_, m)| self.owns(m)).map(|(n, _)| n.clone()).collect();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,9 @@
 mod replica;
 pub mod volumes;
 
+#[cfg(test)]
+mod simulation;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use rand::{SeedableRng, rngs::StdRng};
@@ -24,7 +27,7 @@
 use crate::protocol::job::{JobSpec, JobState};
 use crate::protocol::peer::{PeerMessage, Status};
 use crate::protocol::store::{StoreCall, StoreReply};
-use crate::protocol::units::Micros;
+use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Report, ReportAnswer};
 use crate::settings::{Settings, Tuning};
 
@@ -222,6 +225,8 @@
     pub(crate) counter: (u64, u64),
     pub(crate) quota: (QuotaRecord, u64),
     pub(crate) shards: BTreeMap<usize, (Vec<String>, u64)>,
+    /// Jobs that are over while tasks of theirs may still be somewhere: team and what each takes.
+    pub(crate) retired: BTreeMap<String, (String, Resources)>,
     pub(crate) rentals: BTreeMap<String, (Rental, u64)>,
     pub(crate) done_keys: BTreeMap<String, BTreeMap<usize, u64>>,
 
@@ -241,6 +246,8 @@
     pub(crate) place_due: bool,
     /// The view names this controller under its present registration.
     pub(crate) placing: bool,
+    /// Jobs have been taken over and not all machines are accounted for.
+    pub(crate) taking_over: bool,
     pub counters: Counters,
 }
 
@@ -278,6 +285,7 @@
             counter: (0, 0),
             quota: Default::default(),
             shards: BTreeMap::new(),
+            retired: BTreeMap::new(),
             rentals: BTreeMap::new(),
             done_keys: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -294,6 +302,7 @@
             flush_at: Micros::ZERO,
             place_due: false,
             placing: false,
+            taking_over: false,
             counters: Counters::default(),
             settings,
             tuning,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -1,15 +1,16 @@
 //! An owner's placement of its own jobs on its own machines, and the record of what they complete.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::bookkeeping::budget::Urgency;
-use crate::bookkeeping::records::{self, FinalRecord};
+use crate::bookkeeping::records::{self, Allotment, FinalRecord};
 use crate::coordination::model::{Job, Machine, Pending, TaskOn};
 use crate::coordination::{Controller, Purpose};
 use crate::protocol::job::{Final, JobSpec, Shape};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{TaskId, TaskState};
+use crate::settings::Team;
 
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
@@ -166,9 +167,12 @@
     fn place_gang(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        if !job.on.is_empty() || self.wanted(job) < spec.tasks {
+        if self.wanted(job) < spec.tasks {
             return 0;
         }
+        if !job.on.is_empty() {
+            return self.complete_gang(id, &spec, rooms);
+        }
         let total = spec.need();
         let n = u64::from(spec.tasks);
         let whole = Resources { cpu: total.cpu * n, gpu: total.gpu * n, memory: total.memory * n };
@@ -214,6 +218,74 @@
         chosen.len()
     }
 
+    /// A gang that has not started may lack a task whose start was lost or refused: a replacement
+    /// with the same attempt number completes it.
+    fn complete_gang(&mut self, id: &str, spec: &JobSpec, rooms: &mut BTreeMap<String, Resources>) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let mut attempts = BTreeSet::new();
+        for (index, places) in &job.on {
+            for t in places.iter().filter_map(|m| self.machines.get(m)?.tasks.get(&TaskId::new(id, *index))) {
+                if !matches!(t.state, TaskState::Fetching | TaskState::Waiting) || t.stop.is_some() {
+                    return 0;
+                }
+                attempts.insert(t.attempt);
+            }
+        }
+        let missing: Vec<u32> = (0..spec.tasks).filter(|i| !job.on.contains_key(i)).collect();
+        let (Some(attempt), 1) = (attempts.first().copied(), attempts.len()) else { return 0 };
+        let mut planned = 0;
+        let mut zones = self.zone_counts(id);
+        let mut room_left = self.team_room(spec);
+        for index in missing {
+            if !spec.need().fits(room_left) {
+                break;
+            }
+            let Some(name) = self.best_machine(spec, rooms, &zones) else { break };
+            if let Some(room) = rooms.get_mut(&name) {
+                *room = room.minus(spec.need());
+            }
+            room_left = room_left.minus(spec.need());
+            if let Some(m) = self.machines.get(&name) {
+                *zones.entry(m.row.zone.clone()).or_default() += 1;
+            }
+            self.plan(id, index, attempt, &name);
+            planned += 1;
+        }
+        planned
+    }
+
+    /// A gang stops as a whole: when one of its tasks is being stopped, or its machine is about to be
+    /// taken, all are told, so that what they have done is saved.
+    pub(super) fn stop_gangs(&mut self) {
+        let mut stops: Vec<(String, TaskId, Micros)> = Vec::new();
+        for (id, job) in &self.jobs {
+            if !job.is_gang() || job.spec.tasks < 2 || job.owner.as_deref() != Some(self.me()) {
+                continue;
+            }
+            let tasks: Vec<(&String, TaskId)> = job
+                .on
+                .iter()
+                .flat_map(|(i, places)| places.iter().map(|m| (m, TaskId::new(id, *i))))
+                .collect();
+            let stopped = tasks.iter().any(|(m, t)| {
+                self.machines
+                    .get(*m)
+                    .is_some_and(|m| m.notice || m.tasks.get(t).is_some_and(|t| t.stop.is_some()))
+            });
+            if stopped {
+                let grace = job.spec.save() + Micros::from_secs(1);
+                stops.extend(tasks.into_iter().map(|(m, t)| (m.clone(), t, grace)));
+            }
+        }
+        for (name, task, grace) in stops {
+            if let Some(t) = self.machines.get_mut(&name).and_then(|m| m.tasks.get_mut(&task))
+                && !t.ended()
+            {
+                t.stop.get_or_insert(grace);
+            }
+        }
+    }
+
     /// Attempts rise from one start to the next and from one owner to the next.
     fn next_attempt(&mut self, id: &str) -> u64 {
         let applied = self.applied;
@@ -244,7 +316,7 @@
     }
 
     /// Tasks of a job by zone, each counted until it is seen gone.
-    fn zone_counts(&self, id: &str) -> BTreeMap<String, u32> {
+    pub(super) fn zone_counts(&self, id: &str) -> BTreeMap<String, u32> {
         let mut counts = BTreeMap::new();
         if let Some(job) = self.jobs.get(id) {
             for machine in job.on.values().flatten().filter_map(|name| self.machines.get(name)) {
@@ -291,37 +363,54 @@
         self.jobs.values().filter(|j| j.spec.gpus > 0.0).map(per).max().unwrap_or(0)
     }
 
+    /// Whether a limit could be exceeded at all, or is being shared out in this view.
+    ///
+    /// While all recorded machines together are within it, nobody need count. Machines are recorded
+    /// everywhere before they are granted to anyone, so no controller is late to notice.
+    pub(super) fn binds(&self, team: &Team) -> bool {
+        let all = self.machines.values().fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        let unknown = self.machines.values().any(|m| m.supply == Resources::default());
+        let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
+        let shared =
+            self.quota.0.view == self.view_stamp && self.quota.0.rows.iter().any(|r| r.team == team.name);
+        shared || unknown || over(team.cpus_max, all.cpu) || over(team.gpus_max, all.gpu)
+    }
+
     /// What the owner's jobs of a team may still take, by its allotment of the team's limit.
     fn team_room(&self, spec: &JobSpec) -> Resources {
-        let unlimited = Resources { cpu: u64::MAX >> 1, gpu: u64::MAX >> 1, memory: u64::MAX >> 1 };
         let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
             return Resources::default();
         };
-        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
-            return unlimited;
+        let most = u64::MAX >> 1;
+        if !self.binds(team) {
+            return Resources { cpu: most, gpu: most, memory: most };
         }
         let node = self.lease.as_ref().map_or(0, |l| l.stamp);
-        let row =
-            self.quota.0.rows.iter().find(|r| r.team == spec.team && r.member == self.me() && r.node == node);
+        let mine = |r: &&Allotment| r.team == spec.team && r.member == self.me() && r.node == node;
+        let valid = self.quota.0.view == self.view_stamp;
+        let row = self.quota.0.rows.iter().find(mine).filter(|_| valid);
         let Some(row) = row else { return Resources::default() };
         let (cpu, gpu) = self.team_usage(&spec.team);
         let left = |limit: f64, allotted: u64, used: u64| {
-            if limit > 0.0 { allotted.saturating_sub(used) } else { u64::MAX >> 1 }
+            if limit > 0.0 { allotted.saturating_sub(used) } else { most }
         };
         Resources {
             cpu: left(team.cpus_max, row.cpu, cpu),
             gpu: left(team.gpus_max, row.gpu, gpu),
-            memory: u64::MAX >> 1,
+            memory: most,
         }
     }
 
     /// What tasks of this controller's jobs of a team take, wherever they are or may be.
     fn team_usage(&self, team: &str) -> (u64, u64) {
         let mine = |j: &&Job| j.owner.as_deref() == Some(self.me()) && j.spec.team == team;
-        self.jobs.values().filter(mine).fold((0, 0), |(cpu, gpu), j| {
-            let (need, n) = (j.spec.need(), j.on.len() as u64);
-            (cpu + need.cpu * n, gpu + need.gpu * n)
-        })
+        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), j.on.len() as u64));
+        let over = self.retired.iter().filter(|(_, (t, _))| t == team).map(|(id, (_, need))| {
+            let here = |m: &Machine| m.tasks.keys().filter(|t| t.job == *id).count() as u64;
+            let mine = self.owner_of(id).as_deref() == Some(self.me());
+            (*need, if mine { self.machines.values().map(here).sum() } else { 0 })
+        });
+        live.chain(over).fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
     }
 
     pub(super) fn usage(&self) -> Vec<(String, u64, u64)> {
@@ -411,7 +500,7 @@
     pub(super) fn complete_replied(&mut self, id: String, reply: StoreReply) {
         match reply {
             StoreReply::Committed { .. } => {
-                if let Some(job) = self.jobs.remove(&id) {
+                if let Some(job) = self.retire(&id) {
                     self.finals.insert(&id, Final::Done, job.spec.tasks);
                     tracing::debug!(job = id, "done");
                 }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -47,6 +47,17 @@
         self.unresolved.clear();
         self.peers.clear();
         self.placing = false;
+        self.taking_over = false;
+        self.retired.clear();
+    }
+
+    /// A job is over. Its tasks count against its team's limit until they are seen gone.
+    pub(super) fn retire(&mut self, id: &str) -> Option<Job> {
+        let job = self.jobs.remove(id)?;
+        if !job.on.is_empty() {
+            self.retired.insert(id.to_owned(), (job.spec.team.clone(), job.spec.need()));
+        }
+        Some(job)
     }
 
     pub(super) fn load_all(&mut self, entries: Vec<Entry>) {
@@ -141,7 +152,7 @@
     fn delete(&mut self, key: &str, stamp: u64) {
         if let Some(job) = key.strip_prefix(records::LIVE) {
             // A key accepted, removed and seen again cannot be: ids are never accepted twice.
-            self.jobs.remove(job);
+            self.retire(job);
             self.soon_round();
         } else if let Some(rest) = key.strip_prefix(records::DONE) {
             if let Some((job, chunk)) = rest.rsplit_once('/')
@@ -263,12 +274,14 @@
         }
         self.placing = self.in_view();
         self.unresolved.clear();
+        self.taking_over = taken;
         if taken {
             // Only machines that somebody holds can run anything.
             let used = self.machines.iter().filter(|(_, m)| !m.unused());
             self.unresolved = used.map(|(name, _)| name.clone()).collect();
         }
         tracing::info!(members = ?self.view.members, unresolved = self.unresolved.len(), "new view");
+        self.check_adoption();
         self.soon_status();
         self.place_due = true;
     }
@@ -341,7 +354,7 @@
             applied: self.applied,
             stamp: self.lease.as_ref().map_or(0, |l| l.stamp),
             store_ok: self.now.since(self.store_heard) < Micros::from_secs(2),
-            adopted: self.unresolved.is_empty() && self.in_view(),
+            adopted: !self.taking_over && self.in_view(),
             usage: self.usage(),
             machines: machines.collect(),
             stops: self.foreign_stops(),
@@ -428,7 +441,7 @@
 
     /// Jobs taken over may be started once every machine that could run them is accounted for.
     pub(super) fn check_adoption(&mut self) {
-        if self.unresolved.is_empty() {
+        if !self.taking_over {
             return;
         }
         let view = self.view_stamp;
@@ -444,6 +457,7 @@
             .collect();
         self.unresolved = open.into_iter().collect();
         if self.unresolved.is_empty() {
+            self.taking_over = false;
             let me = self.settings.member.clone();
             let mut count = 0;
             for job in self.jobs.values_mut().filter(|j| j.owner.as_deref() == Some(&me)) {
--- /dev/null
+++ b/src/coordination/simulation.rs
@@ -0,0 +1,1189 @@
+//! Whole clusters in one thread: controllers, and stand-ins for the state service, the cloud, the
+//! workers and the users, under seeded trouble. The protocol's rules are checked after every step.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+
+use super::{Answer, CallId, Controller, Effect, Event, RequestId};
+use crate::protocol::cloud::{
+    CloudCall, CloudReply, ListedMachine, ListedState, MachineList, MachineType, Rental,
+};
+use crate::protocol::job::{Final, JobSpec, JobState, Shape};
+use crate::protocol::peer::PeerMessage;
+use crate::protocol::store::{Change, Entry, News, Page, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::{Micros, Resources};
+use crate::protocol::worker::{Cause, Order, Report, ReportAnswer, ReportedTask, TaskId, TaskState};
+use crate::settings::{Settings, Tuning};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+
+/// The state service: consistent, with leases and a change log.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (Micros, Micros)>,
+    next_lease: u64,
+    log: Vec<(u64, String, Option<Value>)>,
+    txn_ops: usize,
+    value_limit: usize,
+}
+
+impl Store {
+    fn expire(&mut self, now: Micros) {
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(l, _)| *l).collect();
+        over.into_iter().for_each(|l| self.end(l));
+    }
+
+    fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> =
+            self.keys.iter().filter(|(_, v)| v.2 == Some(lease)).map(|(k, _)| k.clone()).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.keys.remove(&key);
+            self.log.push((self.revision, key, None));
+        }
+    }
+
+    fn commit(&mut self, t: Transaction) -> StoreReply {
+        assert!(t.writes.len() <= self.txn_ops, "too many changes in a transaction");
+        assert!(t.conditions.len() <= 4 * self.txn_ops);
+        let dead = |lease: &Option<u64>| lease.is_some_and(|l| !self.leases.contains_key(&l));
+        if t.writes.iter().any(|w| matches!(w, Write::Put { lease, .. } if dead(lease))) {
+            return StoreReply::NoLease;
+        }
+        let stamp = |key: &String| self.keys.get(key).map_or(0, |v| v.1);
+        let failed: Vec<String> =
+            t.conditions.iter().filter(|c| stamp(&c.key) != c.stamp).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return StoreReply::Conflict { failed };
+        }
+        self.revision += 1;
+        for write in t.writes {
+            match write {
+                Write::Put { key, value, lease } => {
+                    assert!(value.to_string().len() <= self.value_limit, "{key} is too large");
+                    self.log.push((self.revision, key.clone(), Some(value.clone())));
+                    self.keys.insert(key, (value, self.revision, lease));
+                }
+                Write::Delete { key } => {
+                    if self.keys.remove(&key).is_some() {
+                        self.log.push((self.revision, key, None));
+                    }
+                }
+            }
+        }
+        StoreReply::Committed { revision: self.revision }
+    }
+
+    fn news(&self, prefix: &str, after: u64) -> Vec<Change> {
+        let first = self.log.partition_point(|(revision, ..)| *revision <= after);
+        let new = self.log[first..].iter().filter(|(_, key, _)| key.starts_with(prefix));
+        new.map(|(stamp, key, value)| match value.clone() {
+            Some(value) => Change::Put { key: key.clone(), value, stamp: *stamp },
+            None => Change::Delete { key: key.clone(), stamp: *stamp },
+        })
+        .collect()
+    }
+
+    fn call(&mut self, now: Micros, call: &StoreCall) -> StoreReply {
+        self.expire(now);
+        match call {
+            StoreCall::Get { key } => match self.keys.get(key) {
+                Some((value, stamp, _)) => StoreReply::Found { value: value.clone(), stamp: *stamp },
+                None => StoreReply::Missing,
+            },
+            StoreCall::List { prefix, after } => {
+                let matching = self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && *k > after);
+                let mut entries: Vec<Entry> = matching
+                    .take(8)
+                    .map(|(k, v)| Entry { key: k.clone(), value: v.0.clone(), stamp: v.1 })
+                    .collect();
+                let more = entries.len() > 7;
+                entries.truncate(7);
+                StoreReply::Page(Page { entries, more, revision: self.revision })
+            }
+            StoreCall::Commit(t) => self.commit(t.clone()),
+            StoreCall::Lease { life_ms } => {
+                self.next_lease += 1;
+                let life = Micros::from_millis(*life_ms);
+                self.leases.insert(self.next_lease, (now + life, life));
+                StoreReply::Leased { lease: self.next_lease }
+            }
+            StoreCall::Renew { lease } => match self.leases.get_mut(lease) {
+                Some((end, life)) => {
+                    *end = now + *life;
+                    StoreReply::Renewed
+                }
+                None => StoreReply::Missing,
+            },
+            StoreCall::Release { lease } => {
+                if !self.leases.contains_key(lease) {
+                    return StoreReply::Missing;
+                }
+                self.end(*lease);
+                StoreReply::Renewed
+            }
+            StoreCall::Follow { prefix, after, .. } => {
+                StoreReply::News(News { revision: self.revision, changes: self.news(prefix, *after) })
+            }
+        }
+    }
+
+    fn regain(&mut self, now: Micros) {
+        for (end, life) in self.leases.values_mut() {
+            *end = now + *life;
+        }
+    }
+}
+
+struct Running {
+    attempt: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+    /// When the present state ends by itself.
+    until: Micros,
+}
+
+struct Worker {
+    kind: String,
+    zone: String,
+    spot: bool,
+    rented: Micros,
+    up_at: Micros,
+    dead: bool,
+    cut_until: Micros,
+    hung_until: Micros,
+    faulty: bool,
+    session: u64,
+    tally: u64,
+    token: u64,
+    renewed: Micros,
+    target: usize,
+    next_report: Micros,
+    /// The report in flight: session, tally, when it was sent.
+    waiting: Option<(u64, u64, Micros)>,
+    tasks: BTreeMap<TaskId, Running>,
+    notice: Option<Micros>,
+}
+
+#[derive(Default)]
+struct Wish {
+    spec: Option<JobSpec>,
+    told_accepted: bool,
+    told_final: Option<(Final, Micros)>,
+    wants_withdrawal: bool,
+    next_try: Micros,
+    tasks_done: BTreeSet<u32>,
+    refused: bool,
+}
+
+enum Happening {
+    Tick(usize),
+    Start(usize),
+    ToController { node: usize, life: u64, event: Event },
+    StoreCall { node: usize, life: u64, id: CallId, call: StoreCall },
+    CloudCall { node: usize, life: u64, id: CallId, call: CloudCall },
+    Worker(String),
+    ReportAnswered { machine: String, session: u64, tally: u64, answer: Option<Answer> },
+    User(String),
+    UserAnswered { job: String, withdraw: bool, answer: Answer },
+    LateCommit(Transaction),
+}
+
+struct Scheduled(Micros, u64, Happening);
+impl PartialEq for Scheduled {
+    fn eq(&self, o: &Self) -> bool {
+        (self.0, self.1) == (o.0, o.1)
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        (o.0, o.1).cmp(&(self.0, self.1))
+    }
+}
+
+enum Asked {
+    Report { machine: String, session: u64, tally: u64 },
+    User { job: String, withdraw: bool },
+}
+
+/// Troubles that a run may bring, each with its odds per second.
+#[derive(Clone, Copy, Default)]
+struct Trouble {
+    crash: f64,
+    crash_all: f64,
+    machine_dies: f64,
+    machine_cut: f64,
+    machine_hangs: f64,
+    faulty: f64,
+    spot_taken: f64,
+    store_outage: f64,
+    store_refuses_one: f64,
+    cloud_outage: f64,
+    peers_apart: f64,
+    lost: f64,
+    late: f64,
+}
+
+struct World {
+    rng: StdRng,
+    now: Micros,
+    queue: BinaryHeap<Scheduled>,
+    sequence: u64,
+    settings: Vec<Settings>,
+    controllers: Vec<Option<Controller>>,
+    lives: Vec<u64>,
+    booted: Vec<Micros>,
+    drift: Vec<f64>,
+    requests: HashMap<(usize, u64, RequestId), Asked>,
+    next_request: RequestId,
+    store: Store,
+    store_down: Micros,
+    refused_node: Option<(usize, Micros)>,
+    apart: Option<(usize, usize, Micros)>,
+    cloud_down: Micros,
+    charters: BTreeMap<String, Vec<String>>,
+    next_machine: u32,
+    types: Vec<MachineType>,
+    capacity: usize,
+    workers: BTreeMap<String, Worker>,
+    jobs: BTreeMap<String, Wish>,
+    trouble: Trouble,
+    started: u32,
+    calm_after: Micros,
+}
+
+impl World {
+    fn new(seed: u64, trouble: Trouble) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let base: Settings = toml::from_str(crate::settings::tests::SAMPLE).unwrap();
+        let mut settings = Vec::new();
+        for n in 0..3 {
+            let mut s = base.clone();
+            s.member = format!("n-{n}");
+            s.members = (0..3)
+                .filter(|m| *m != n)
+                .map(|m| crate::settings::Member {
+                    member: format!("n-{m}"),
+                    zone: String::new(),
+                    addr: "10.0.0.1:1".into(),
+                })
+                .collect();
+            settings.push(s);
+        }
+        let kind = |name: &str, cpus, gpus, memory_gb, price| MachineType {
+            name: name.into(),
+            cpus,
+            gpus,
+            memory_gb,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price,
+            spot_price: price / 2.0,
+            boot_s: 10.0,
+            zones: vec!["east".into(), "west".into()],
+        };
+        let limits = base.params.state;
+        let store = Store {
+            txn_ops: limits.txn_ops,
+            value_limit: (limits.value_kb * 1024.0) as usize,
+            revision: 1,
+            ..Default::default()
+        };
+        let drift = (0..3).map(|_| 1.0 + rng.random_range(0.0..0.0005)).collect();
+        let mut world = World {
+            rng,
+            now: Micros::ZERO,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            settings,
+            controllers: (0..3).map(|_| None).collect(),
+            lives: vec![0; 3],
+            booted: vec![Micros::ZERO; 3],
+            drift,
+            requests: HashMap::new(),
+            next_request: 1,
+            store,
+            store_down: Micros::ZERO,
+            refused_node: None,
+            apart: None,
+            cloud_down: Micros::ZERO,
+            charters: BTreeMap::new(),
+            next_machine: 0,
+            types: vec![kind("c16", 16.0, 0.0, 64.0, 1.0), kind("g8", 16.0, 4.0, 64.0, 5.0)],
+            capacity: 14,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            trouble,
+            started: 0,
+            calm_after: Micros::MAX,
+        };
+        for n in 0..3 {
+            world.at(Micros::from_millis(10 * n as u64), Happening::Start(n));
+        }
+        world
+    }
+
+    fn at(&mut self, at: Micros, what: Happening) {
+        self.sequence += 1;
+        self.queue.push(Scheduled(at.max(self.now), self.sequence, what));
+    }
+
+    fn soon(&mut self, from: u64, to: u64, what: Happening) {
+        let delay = Micros(self.rng.random_range(from..=to));
+        self.at(self.now + delay, what);
+    }
+
+    fn odds(&mut self, p: f64) -> bool {
+        p > 0.0 && self.now < self.calm_after && self.rng.random_bool(p.min(1.0))
+    }
+
+    /// A message may be lost; a late one arrives up to a minute later.
+    fn lost(&mut self) -> bool {
+        let p = self.trouble.lost;
+        self.odds(p)
+    }
+
+    fn clock(&self, node: usize) -> Micros {
+        self.now.since(self.booted[node]).mul_f64(self.drift[node])
+    }
+
+    fn tell(&mut self, node: usize, event: Event) {
+        let clock = self.clock(node);
+        let Some(controller) = &mut self.controllers[node] else { return };
+        let effects = controller.handle(clock, event);
+        let life = self.lives[node];
+        for effect in effects {
+            match effect {
+                Effect::Store(id, call) => {
+                    self.soon(MS, 12 * MS, Happening::StoreCall { node, life, id, call })
+                }
+                Effect::Cloud(id, call) => {
+                    self.soon(50 * MS, 200 * MS, Happening::CloudCall { node, life, id, call })
+                }
+                Effect::Send(to, message) => self.send(node, to, message),
+                Effect::Answer(request, answer) => self.answered(node, life, request, answer),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Option<String>, message: PeerMessage) {
+        for other in 0..3 {
+            let named = to.as_ref().is_none_or(|t| *t == self.settings[other].member);
+            let cut = self.apart.is_some_and(|(a, b, until)| {
+                self.now < until && ((a, b) == (from, other) || (b, a) == (from, other))
+            });
+            if other == from || !named || cut || self.lost() {
+                continue;
+            }
+            // Messages between two controllers share a connection and keep their order.
+            let delay = Micros(2 * MS);
+            let event = Event::Peer(self.settings[from].member.clone(), message.clone());
+            let life = self.lives[other];
+            self.at(self.now + delay, Happening::ToController { node: other, life, event });
+        }
+    }
+
+    fn answered(&mut self, node: usize, life: u64, request: RequestId, answer: Answer) {
+        match self.requests.remove(&(node, life, request)) {
+            Some(Asked::Report { machine, session, tally }) => {
+                let answer = (!self.lost()).then_some(answer);
+                self.soon(MS, 30 * MS, Happening::ReportAnswered { machine, session, tally, answer });
+            }
+            Some(Asked::User { job, withdraw }) if !self.lost() => {
+                self.soon(MS, 5 * MS, Happening::UserAnswered { job, withdraw, answer });
+            }
+            _ => {}
+        }
+    }
+
+    fn run(&mut self, until: Micros) {
+        while let Some(Scheduled(at, ..)) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Some(Scheduled(at, _, what)) = self.queue.pop() else { break };
+            self.now = at;
+            self.happen(what);
+            self.check();
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Start(n) => {
+                self.lives[n] += 1;
+                self.booted[n] = self.now;
+                let seed = self.rng.random();
+                self.controllers[n] =
+                    Some(Controller::new(self.settings[n].clone(), Tuning::default(), seed));
+                self.at(self.now, Happening::Tick(n));
+            }
+            Happening::Tick(n) => {
+                if self.controllers[n].is_some() {
+                    if n == 0 || self.controllers[0].is_none() {
+                        self.make_trouble(0.1);
+                    }
+                    self.tell(n, Event::Tick);
+                    self.at(self.now + Micros::from_millis(100), Happening::Tick(n));
+                }
+            }
+            Happening::ToController { node, life, event } => {
+                if self.lives[node] == life {
+                    self.tell(node, event);
+                }
+            }
+            Happening::StoreCall { node, life, id, call } => {
+                let refused = self.now < self.store_down
+                    || self.refused_node.is_some_and(|(n, until)| n == node && self.now < until);
+                let reply = if refused {
+                    StoreReply::Refused
+                } else if self.lost() {
+                    // Lost on the way there, on the way back, or held up and applied much later.
+                    if let StoreCall::Commit(t) = &call {
+                        let late = self.trouble.late;
+                        if self.odds(late) {
+                            self.soon(S, 60 * S, Happening::LateCommit(t.clone()));
+                        }
+                    } else if self.rng.random_bool(0.5) {
+                        self.store.call(self.now, &call);
+                    }
+                    StoreReply::Unclear
+                } else {
+                    self.store.call(self.now, &call)
+                };
+                let event = Event::Store(id, reply);
+                self.soon(MS, 12 * MS, Happening::ToController { node, life, event });
+            }
+            Happening::LateCommit(t) => {
+                self.store.expire(self.now);
+                self.store.commit(t);
+            }
+            Happening::CloudCall { node, life, id, call } => {
+                let reply = if self.now < self.cloud_down { CloudReply::Unclear } else { self.cloud(&call) };
+                let reply = if self.lost() { CloudReply::Unclear } else { reply };
+                let event = Event::Cloud(id, reply);
+                self.soon(50 * MS, 200 * MS, Happening::ToController { node, life, event });
+            }
+            Happening::Worker(name) => self.worker_turn(name),
+            Happening::ReportAnswered { machine, session, tally, answer } => {
+                self.report_answered(machine, session, tally, answer);
+            }
+            Happening::User(job) => self.user_turn(job),
+            Happening::UserAnswered { job, withdraw, answer } => self.user_answered(job, withdraw, answer),
+        }
+    }
+
+    fn cloud(&mut self, call: &CloudCall) -> CloudReply {
+        match call {
+            CloudCall::Types => CloudReply::Types(self.types.clone()),
+            CloudCall::Rent(Rental { request, kind, zone, spot, count }) => {
+                if let Some(names) = self.charters.get(request) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let alive = self.workers.values().filter(|w| !w.dead).count();
+                let count = (*count as usize).min(self.capacity.saturating_sub(alive));
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let names: Vec<String> = (0..count).map(|_| self.add_machine(kind, zone, *spot)).collect();
+                self.charters.insert(request.clone(), names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudCall::Return(names) => {
+                names.iter().for_each(|n| drop(self.workers.remove(n)));
+                CloudReply::Returned
+            }
+            CloudCall::List { after } => {
+                let machines = self
+                    .workers
+                    .iter()
+                    .filter(|(n, w)| *n > after && self.now.since(w.rented) > Micros::from_secs(3));
+                let machines = machines.map(|(n, w)| ListedMachine {
+                    id: n.clone(),
+                    kind: w.kind.clone(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    state: if w.dead { ListedState::Failed } else { ListedState::Running },
+                    age_s: self.now.since(w.rented).as_secs_f64(),
+                });
+                CloudReply::List(MachineList { machines: machines.collect(), more: false })
+            }
+        }
+    }
+
+    fn add_machine(&mut self, kind: &str, zone: &str, spot: bool) -> String {
+        self.next_machine += 1;
+        let name = format!("m-{:06}", self.next_machine);
+        let up_at = self.now + Micros(self.rng.random_range(S..15 * S));
+        let worker = Worker {
+            kind: kind.into(),
+            zone: zone.into(),
+            spot,
+            rented: self.now,
+            up_at,
+            dead: false,
+            cut_until: Micros::ZERO,
+            hung_until: Micros::ZERO,
+            faulty: false,
+            session: 1,
+            tally: 0,
+            token: 0,
+            renewed: up_at,
+            target: self.rng.random_range(0..3),
+            next_report: up_at,
+            waiting: None,
+            tasks: BTreeMap::new(),
+            notice: None,
+        };
+        self.workers.insert(name.clone(), worker);
+        self.at(up_at, Happening::Worker(name.clone()));
+        name
+    }
+
+    /// Advances a worker: its lease, its tasks, its reports.
+    fn worker_turn(&mut self, name: String) {
+        let now = self.now;
+        let lease = Micros::from_secs(14);
+        let Some(w) = self.workers.get_mut(&name) else { return };
+        if w.dead {
+            return;
+        }
+        if w.hung_until > now {
+            let until = w.hung_until;
+            return self.at(until, Happening::Worker(name));
+        }
+        if now.since(w.renewed) > lease {
+            w.tasks.clear();
+            w.session += 1;
+            w.renewed = now;
+        }
+        let mut changed = false;
+        let mut completed = Vec::new();
+        let mut begun = Vec::new();
+        for (id, t) in &mut w.tasks {
+            if t.until > now || t.state == TaskState::Ended {
+                continue;
+            }
+            changed = true;
+            let job = self.jobs.get(&id.job).and_then(|j| j.spec.as_ref());
+            let gang = job.is_some_and(|s| s.shape == Shape::Gang);
+            let service = job.is_some_and(|s| s.shape == Shape::Service);
+            match t.state {
+                TaskState::Fetching if gang => {
+                    t.state = TaskState::Waiting;
+                    t.until = now + Micros::from_secs(45);
+                    begun.push(id.clone());
+                }
+                TaskState::Fetching => {
+                    t.state = TaskState::Running;
+                    t.until = now
+                        + if service {
+                            Micros::from_secs(9_999)
+                        } else {
+                            Micros(self.rng.random_range(2 * S..20 * S))
+                        };
+                    begun.push(id.clone());
+                }
+                TaskState::Waiting => (t.state, t.cause) = (TaskState::Ended, Some(Cause::Alone)),
+                TaskState::Running if w.faulty => (t.state, t.cause) = (TaskState::Ended, Some(Cause::Error)),
+                TaskState::Running => {
+                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::Done));
+                    completed.push(id.clone());
+                }
+                _ => (t.state, t.cause) = (TaskState::Ended, Some(Cause::Stopped)),
+            }
+        }
+        for id in completed {
+            self.jobs.entry(id.job.clone()).or_default().tasks_done.insert(id.index);
+        }
+        begun.iter().for_each(|id| self.has_begun(&name, id));
+        self.gangs();
+        let Some(w) = self.workers.get_mut(&name) else { return };
+        if w.waiting.is_some_and(|(_, _, sent)| now.since(sent) > Micros::from_secs(4)) {
+            w.waiting = None;
+            w.target = (w.target + 1) % 3;
+            w.next_report = now + Micros::from_secs(1);
+        }
+        if w.waiting.is_none() && (now >= w.next_report || changed) {
+            w.tally += 1;
+            w.waiting = Some((w.session, w.tally, now));
+            w.next_report = now + Micros(self.rng.random_range(1_875 * MS..3_125 * MS));
+            let report = Report {
+                machine: name.clone(),
+                addr: String::new(),
+                kind: w.kind.clone(),
+                zone: w.zone.clone(),
+                spot: w.spot,
+                session: w.session,
+                tally: w.tally,
+                token: w.token,
+                notice_s: w.notice.map(|at| at.since(now).as_secs_f64()),
+                tasks: w
+                    .tasks
+                    .iter()
+                    .map(|(id, t)| ReportedTask {
+                        task: id.text(),
+                        attempt: t.attempt,
+                        state: t.state,
+                        cause: t.cause,
+                    })
+                    .collect(),
+            };
+            let (node, cut) = (w.target, w.cut_until > now);
+            let (session, tally) = (w.session, w.tally);
+            let late = self.trouble.late;
+            if cut || self.lost() {
+                // Held up: it may arrive long after the worker has given it up.
+                if self.odds(late) {
+                    let request = self.next_request;
+                    self.next_request += 1;
+                    let life = self.lives[node];
+                    self.soon(
+                        5 * S,
+                        60 * S,
+                        Happening::ToController { node, life, event: Event::Report(request, report) },
+                    );
+                }
+            } else if self.controllers[node].is_none() {
+                self.soon(
+                    MS,
+                    2 * MS,
+                    Happening::ReportAnswered {
+                        machine: name.clone(),
+                        session,
+                        tally,
+                        answer: Some(Answer::Later(1)),
+                    },
+                );
+            } else {
+                let request = self.next_request;
+                self.next_request += 1;
+                let life = self.lives[node];
+                self.requests
+                    .insert((node, life, request), Asked::Report { machine: name.clone(), session, tally });
+                self.soon(
+                    MS,
+                    5 * MS,
+                    Happening::ToController { node, life, event: Event::Report(request, report) },
+                );
+            }
+        }
+        self.at(now + Micros::from_millis(500), Happening::Worker(name));
+    }
+
+    /// Gangs start once all their tasks wait, and fail together.
+    fn gangs(&mut self) {
+        let mut gangs: BTreeMap<(String, u64), Vec<(String, TaskId, TaskState)>> = BTreeMap::new();
+        for (name, w) in self.workers.iter().filter(|(_, w)| !w.dead) {
+            for (id, t) in &w.tasks {
+                let spec = self.jobs.get(&id.job).and_then(|j| j.spec.as_ref());
+                if spec.is_some_and(|s| s.shape == Shape::Gang) {
+                    gangs.entry((id.job.clone(), t.attempt)).or_default().push((
+                        name.clone(),
+                        id.clone(),
+                        t.state,
+                    ));
+                }
+            }
+        }
+        for ((job, _), tasks) in gangs {
+            let size = self.jobs[&job].spec.as_ref().map_or(0, |s| s.tasks as usize);
+            let waiting = tasks.iter().filter(|t| t.2 == TaskState::Waiting).count();
+            let running = tasks.iter().filter(|t| t.2 == TaskState::Running).count();
+            let done = self.jobs[&job].tasks_done.len();
+            let until = self.now + Micros(self.rng.random_range(4 * S..15 * S));
+            for (name, id, state) in tasks {
+                let Some(t) = self.workers.get_mut(&name).and_then(|w| w.tasks.get_mut(&id)) else {
+                    continue;
+                };
+                if waiting == size && state == TaskState::Waiting {
+                    (t.state, t.until) = (TaskState::Running, until);
+                } else if state == TaskState::Running && running + done < size {
+                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::Peers));
+                } else if state == TaskState::Running && done > 0 {
+                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::Done));
+                    if let Some(j) = self.jobs.get_mut(&job) {
+                        j.tasks_done.insert(id.index);
+                    }
+                }
+            }
+        }
+    }
+
+    fn report_answered(&mut self, name: String, session: u64, tally: u64, answer: Option<Answer>) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&name) else { return };
+        // Given up on by now, or meant for an earlier session.
+        let Some((s, t, sent)) = w.waiting else { return };
+        if (s, t) != (session, tally)
+            || w.session != session
+            || now.since(sent) > Micros::from_secs(4)
+            || w.dead
+            || w.hung_until > now
+        {
+            return;
+        }
+        let Some(answer) = answer else { return };
+        w.waiting = None;
+        match answer {
+            Answer::Orders(ReportAnswer { token, orders }) => {
+                if token < w.token {
+                    return;
+                }
+                if token > w.token {
+                    w.next_report = now + Micros::from_millis(500);
+                }
+                w.token = token;
+                w.renewed = sent;
+                let supply =
+                    self.types.iter().find(|t| t.name == w.kind).map(MachineType::supply).unwrap_or_default();
+                for order in orders {
+                    self.obey(&name, order, supply);
+                }
+            }
+            Answer::Elsewhere(Some(member)) => {
+                w.target = self.settings.iter().position(|s| s.member == member).unwrap_or(0);
+                w.next_report = now + Micros(self.rng.random_range(0..500 * MS));
+            }
+            _ => {
+                w.target = (w.target + 1) % 3;
+                w.next_report = now + Micros::from_secs(1);
+            }
+        }
+    }
+
+    fn obey(&mut self, name: &str, order: Order, supply: Resources) {
+        let now = self.now;
+        let fetch = Micros(self.rng.random_range(100 * MS..3 * S));
+        match order {
+            Order::Start { task, attempt } => {
+                let id = TaskId::parse(&task).unwrap();
+                let Some(wish) = self.jobs.get(&id.job) else { panic!("{task} was never submitted") };
+                let Some(spec) = wish.spec.clone() else { panic!("{task} is unknown") };
+                let w = self.workers.get_mut(name).unwrap();
+                if let Some(t) = w.tasks.get(&id) {
+                    if t.attempt != attempt && t.state != TaskState::Ended {
+                        panic!("{task} ordered on {name}, where it runs as another attempt");
+                    }
+                    return;
+                }
+                let need =
+                    |id: &TaskId| self.jobs[&id.job].spec.as_ref().map(|s| s.need()).unwrap_or_default();
+                let room = w
+                    .tasks
+                    .iter()
+                    .filter(|(_, t)| t.state != TaskState::Ended)
+                    .fold(supply, |r, (i, _)| r.minus(need(i)));
+                let fits = spec.need().fits(room);
+                let running = Running {
+                    attempt,
+                    state: if fits { TaskState::Fetching } else { TaskState::Ended },
+                    cause: (!fits).then_some(Cause::NoRoom),
+                    until: now + fetch,
+                };
+                w.tasks.insert(id, running);
+            }
+            Order::Stop { task, attempt, grace_s } => {
+                let id = TaskId::parse(&task).unwrap();
+                let save = self.jobs.get(&id.job).and_then(|j| j.spec.as_ref()).map_or(0.0, |s| s.save_s);
+                let w = self.workers.get_mut(name).unwrap();
+                if let Some(t) = w.tasks.get_mut(&id)
+                    && t.attempt == attempt
+                    && t.state != TaskState::Ended
+                {
+                    if t.state == TaskState::Running && grace_s >= save && save > 0.0 {
+                        (t.state, t.until) = (TaskState::Saving, now + Micros::from_secs_f64(save));
+                    } else if t.state != TaskState::Saving || grace_s == 0.0 {
+                        (t.state, t.cause) = (TaskState::Ended, Some(Cause::Stopped));
+                    }
+                }
+            }
+            Order::Forget { task, attempt } => {
+                let id = TaskId::parse(&task).unwrap();
+                let w = self.workers.get_mut(name).unwrap();
+                if w.tasks.get(&id).is_some_and(|t| t.attempt == attempt && t.state == TaskState::Ended) {
+                    w.tasks.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// A task has its image: the moment at which the rules are judged.
+    fn has_begun(&mut self, name: &str, id: &TaskId) {
+        self.started += 1;
+        let here = |t: &Running| !matches!(t.state, TaskState::Ended | TaskState::Fetching);
+        for (other, w) in self.workers.iter().filter(|(n, w)| *n != name && !w.dead) {
+            if let Some(t) = w.tasks.get(id) {
+                // A worker past its lease has only not noticed yet.
+                let gone = self.now.since(w.renewed) > Micros::from_secs(14);
+                assert!(!here(t) || gone, "ran_twice: {id:?} on {other} and {name} at {:?}", self.now);
+            }
+        }
+        let spec = self.jobs[&id.job].spec.clone().unwrap();
+        let w = &self.workers[name];
+        assert!(spec.types.as_ref().is_none_or(|t| t.contains(&w.kind)), "wrong_place: type of {id:?}");
+        assert!(spec.zone.as_ref().is_none_or(|z| *z == w.zone), "wrong_place: zone of {id:?}");
+        assert!(spec.spot || !w.spot, "wrong_place: {id:?} on a spot machine");
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        for w in
+            self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= Micros::from_secs(14))
+        {
+            for (_, t) in w.tasks.iter().filter(|(i, t)| i.job == id.job && here(t)) {
+                debug_assert!(t.attempt > 0);
+                *zones.entry(&w.zone).or_default() += 1;
+            }
+        }
+        assert!(!spec.one_zone || zones.len() <= 1, "wrong_place: {id:?} in a second zone");
+        let most = spec.tasks.div_ceil(2);
+        assert!(!spec.spread || zones.values().all(|n| *n <= most), "wrong_place: {id:?} not apart");
+        if let Some((Final::Withdrawn, at)) = self.jobs[&id.job].told_final {
+            assert!(self.now.since(at) < Micros::from_secs(34), "ran_cancelled: {id:?}");
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&self) {
+        let limit = (self.settings[0].params.teams[0].cpus_max * 1e3) as u64;
+        let mut used = 0;
+        for w in
+            self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= Micros::from_secs(14))
+        {
+            for (id, t) in &w.tasks {
+                if matches!(t.state, TaskState::Ended | TaskState::Fetching) {
+                    continue;
+                }
+                let Some(spec) = self.jobs.get(&id.job).and_then(|j| j.spec.as_ref()) else { continue };
+                if spec.team == "blue" {
+                    used += spec.need().cpu;
+                }
+                if let Some((Final::Withdrawn, at)) = self.jobs[&id.job].told_final {
+                    assert!(self.now.since(at) < Micros::from_secs(34), "ran_cancelled: {id:?} still runs");
+                }
+            }
+        }
+        assert!(used <= limit, "quota: {used} of {limit} at {:?}", self.now);
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let id = spec.id.clone();
+        self.jobs.insert(id.clone(), Wish { spec: Some(spec), ..Default::default() });
+        self.at(self.now, Happening::User(id));
+    }
+
+    fn user_turn(&mut self, id: String) {
+        let Some(wish) = self.jobs.get(&id) else { return };
+        if wish.refused {
+            return;
+        }
+        let (spec, accepted) = (wish.spec.clone(), wish.told_accepted);
+        let withdraw = accepted && wish.wants_withdrawal;
+        let node = self.rng.random_range(0..3);
+        if self.controllers[node].is_some() && !self.lost() {
+            let request = self.next_request;
+            self.next_request += 1;
+            let life = self.lives[node];
+            let event = match spec {
+                Some(spec) if !accepted => Event::Submit(request, Box::new(spec)),
+                _ if withdraw => Event::Withdraw(request, id.clone()),
+                _ => Event::Query(request, id.clone()),
+            };
+            self.requests.insert((node, life, request), Asked::User { job: id.clone(), withdraw });
+            self.soon(MS, 5 * MS, Happening::ToController { node, life, event });
+        }
+        self.soon(S, 3 * S, Happening::User(id));
+    }
+
+    fn user_answered(&mut self, id: String, withdraw: bool, answer: Answer) {
+        let now = self.now;
+        let Some(wish) = self.jobs.get_mut(&id) else { return };
+        match answer {
+            Answer::Job { state, id: told, .. } => {
+                assert_eq!(told, id);
+                wish.told_accepted = true;
+                match state {
+                    JobState::Final(f) => {
+                        if f == Final::Done {
+                            let all = wish.spec.as_ref().map_or(0, |s| s.tasks as usize);
+                            assert_eq!(wish.tasks_done.len(), all, "not_done: {id}");
+                        } else {
+                            assert!(wish.wants_withdrawal, "went_back: {id} was not withdrawn by its user");
+                        }
+                        if let Some((before, _)) = wish.told_final {
+                            assert_eq!(before, f, "went_back: {id}");
+                        } else {
+                            wish.told_final = Some((f, now));
+                        }
+                    }
+                    _ => {
+                        assert!(!withdraw, "a withdrawal of {id} was answered with a live state");
+                        // Answers may overtake each other by a few milliseconds.
+                        let told =
+                            wish.told_final.is_some_and(|(_, at)| now.since(at) > Micros::from_millis(100));
+                        assert!(!told, "went_back: {id} is live again");
+                    }
+                }
+            }
+            Answer::NotFound => assert!(!wish.told_accepted, "forgotten: {id}"),
+            Answer::Impossible(why) => {
+                assert!(!wish.told_accepted, "forgotten: {id}: {why}");
+                wish.refused = true;
+            }
+            _ => wish.next_try = now,
+        }
+    }
+
+    fn make_trouble(&mut self, seconds: f64) {
+        let t = self.trouble;
+        let s = |p: f64| p * seconds;
+        if self.odds(s(t.crash)) {
+            let n = self.rng.random_range(0..3);
+            self.crash(n);
+        }
+        if self.odds(s(t.crash_all)) {
+            (0..3).for_each(|n| self.crash(n));
+        }
+        if self.odds(s(t.store_outage)) {
+            let length = Micros(self.rng.random_range(S..20 * S));
+            self.store_down = self.now + length;
+            self.store.regain(self.now + length);
+        }
+        if self.odds(s(t.store_refuses_one)) {
+            let length = Micros(self.rng.random_range(5 * S..35 * S));
+            self.refused_node = Some((self.rng.random_range(0..3), self.now + length));
+        }
+        if self.odds(s(t.cloud_outage)) {
+            self.cloud_down = self.now + Micros(self.rng.random_range(S..30 * S));
+        }
+        if self.odds(s(t.peers_apart)) {
+            let a = self.rng.random_range(0..3);
+            self.apart = Some((a, (a + 1) % 3, self.now + Micros(self.rng.random_range(S..30 * S))));
+        }
+        let names: Vec<String> =
+            self.workers.iter().filter(|(_, w)| !w.dead).map(|(n, _)| n.clone()).collect();
+        if names.is_empty() {
+            return;
+        }
+        let name = names[self.rng.random_range(0..names.len())].clone();
+        let (now, length) = (self.now, Micros(self.rng.random_range(S..50 * S)));
+        let (dies, cut, hangs, faulty, taken) = (
+            self.odds(s(t.machine_dies)),
+            self.odds(s(t.machine_cut)),
+            self.odds(s(t.machine_hangs)),
+            self.odds(s(t.faulty)),
+            self.odds(s(t.spot_taken)),
+        );
+        let Some(w) = self.workers.get_mut(&name) else { return };
+        w.dead |= dies;
+        w.faulty |= faulty;
+        if cut {
+            w.cut_until = now + length;
+        }
+        if hangs {
+            w.hung_until = now + length;
+        }
+        if taken && w.spot {
+            match w.notice {
+                None => w.notice = Some(now + Micros::from_secs(12)),
+                Some(_) => w.dead = true,
+            }
+        }
+    }
+
+    /// What each controller knows of a job, for the message of a failed run.
+    fn describe(&self, id: &str) -> String {
+        let mut text = String::new();
+        for c in self.controllers.iter().flatten() {
+            let job = c.jobs.get(id).map(|j| {
+                (&j.owner, j.adopting, j.volume, &j.on, j.completing, j.attempt, j.held_until, j.done.len())
+            });
+            text += &format!("{} {:?} unresolved {:?} job {job:?}\n", c.me(), c.phase, c.unresolved);
+            text += &format!("  view {:?} nodes {:?} leading {}\n", c.view, c.nodes, c.leading());
+            for (name, m) in &c.machines {
+                let tasks: Vec<_> = m.tasks.iter().map(|(i, t)| (i.text(), t.state, t.attempt)).collect();
+                text += &format!("  {name} {:?} up {} resolved {} {tasks:?}\n", m.row, m.up, m.resolved);
+            }
+        }
+        text
+    }
+
+    fn crash(&mut self, n: usize) {
+        if self.controllers[n].take().is_some() {
+            self.lives[n] += 1;
+            let back = Micros(self.rng.random_range(4 * S..7 * S));
+            self.at(self.now + back, Happening::Start(n));
+        }
+    }
+
+    fn random_job(&mut self, n: u32) -> JobSpec {
+        let shape = match self.rng.random_range(0..10) {
+            0..=5 => Shape::Array,
+            6..=8 => Shape::Gang,
+            _ => Shape::Service,
+        };
+        let tasks = match shape {
+            Shape::Array => self.rng.random_range(1..25),
+            _ => self.rng.random_range(1..5),
+        };
+        let gpus = if self.rng.random_bool(0.2) { 1.0 } else { 0.0 };
+        let priority = [
+            crate::protocol::job::Priority::Low,
+            crate::protocol::job::Priority::Normal,
+            crate::protocol::job::Priority::High,
+        ][self.rng.random_range(0..3)];
+        let one_zone = self.rng.random_bool(0.3);
+        JobSpec {
+            id: format!("j-{n:06}"),
+            class: "any".into(),
+            team: if self.rng.random_bool(0.5) { "blue" } else { "green" }.into(),
+            shape,
+            priority,
+            tasks,
+            cpus: f64::from(self.rng.random_range(1..6u32)),
+            gpus,
+            memory_gb: 4.0,
+            image: format!("img-{}", self.rng.random_range(0..4)),
+            image_gb: 1.0,
+            types: None,
+            zone: self.rng.random_bool(0.1).then(|| "west".into()),
+            one_zone,
+            spread: !one_zone && self.rng.random_bool(0.2),
+            spot: self.rng.random_bool(0.6),
+            estimate_s: 10.0,
+            checkpoint_s: 5.0,
+            save_s: 2.0,
+            deadline_s: None,
+        }
+    }
+}
+
+/// A run of a few minutes under the given trouble; at the end all is calm, and all that was accepted
+/// and not withdrawn must be done.
+fn play(seed: u64, trouble: Trouble) -> World {
+    let mut world = World::new(seed, trouble);
+    world.run(Micros::from_secs(5));
+    let mut services = Vec::new();
+    for n in 0..40u32 {
+        let spec = world.random_job(n);
+        if spec.shape == Shape::Service {
+            services.push(spec.id.clone());
+        }
+        world.submit(spec);
+        let pause = world.rng.random_range(0..5 * S);
+        let next = world.now + Micros(pause);
+        world.run(next);
+        if n % 9 == 8 {
+            let id = format!("j-{:06}", n - 3);
+            world.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
+        }
+    }
+    world.calm_after = world.now;
+    for w in world.workers.values_mut() {
+        w.faulty = false;
+    }
+    for id in services {
+        world.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
+    }
+    let end = world.now + Micros::from_secs(400);
+    world.run(end);
+    for (id, wish) in &world.jobs {
+        assert!(
+            wish.refused || wish.told_final.is_some(),
+            "seed {seed}: {id} is not over: {:?}, done {:?}\n{}",
+            wish.spec,
+            wish.tasks_done,
+            world.describe(id)
+        );
+    }
+    assert!(world.started > 50, "seed {seed}: hardly anything ran");
+    world
+}
+
+fn play_all(seeds: std::ops::Range<u64>, trouble: Trouble) {
+    for seed in seeds {
+        play(seed, trouble);
+    }
+}
+
+#[test]
+fn a_quiet_cluster_does_all_its_work() {
+    play_all(0..6, Trouble::default());
+}
+
+/// Guards against the fault by which a task's place was forgotten when a machine changed hands.
+#[test]
+fn controllers_that_crash_singly_and_together_run_nothing_twice() {
+    play_all(100..108, Trouble { crash: 0.04, crash_all: 0.01, ..Default::default() });
+}
+
+#[test]
+fn state_outages_with_crashes_lose_no_accepted_job() {
+    play_all(200..208, Trouble { store_outage: 0.03, crash_all: 0.015, crash: 0.02, ..Default::default() });
+}
+
+#[test]
+fn a_controller_refused_by_the_store_alone_falls_silent_in_time() {
+    play_all(300..308, Trouble { store_refuses_one: 0.03, machine_cut: 0.05, ..Default::default() });
+}
+
+#[test]
+fn machines_that_die_hang_or_are_cut_off_neither_block_nor_double_work() {
+    let trouble = Trouble {
+        machine_dies: 0.03,
+        machine_cut: 0.05,
+        machine_hangs: 0.05,
+        faulty: 0.01,
+        spot_taken: 0.3,
+        crash: 0.01,
+        ..Default::default()
+    };
+    play_all(400..408, trouble);
+}
+
+#[test]
+fn messages_lost_or_minutes_late_change_nothing() {
+    let trouble = Trouble { lost: 0.03, late: 0.7, crash: 0.02, ..Default::default() };
+    play_all(500..508, trouble);
+}
+
+#[test]
+fn controllers_apart_from_each_other_keep_the_rules() {
+    let trouble = Trouble { peers_apart: 0.04, crash: 0.02, cloud_outage: 0.02, ..Default::default() };
+    play_all(600..608, trouble);
+}
+
+#[test]
+fn everything_at_once_breaks_no_rule() {
+    let trouble = Trouble {
+        crash: 0.02,
+        crash_all: 0.004,
+        machine_dies: 0.01,
+        machine_cut: 0.03,
+        machine_hangs: 0.03,
+        faulty: 0.004,
+        spot_taken: 0.1,
+        store_outage: 0.01,
+        store_refuses_one: 0.01,
+        cloud_outage: 0.01,
+        peers_apart: 0.02,
+        lost: 0.01,
+        late: 0.6,
+    };
+    play_all(700..712, trouble);
+}
