--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -37,13 +37,15 @@
     pub cleaned: Micros,
 }
 
-/// Tasks of a job for which no machine is there, and how many each zone may still take, where the
-/// job minds.
+/// How many more tasks each zone may take; none where the job does not mind.
+type ZonesLeft = Option<BTreeMap<String, u64>>;
+
+/// Tasks of a job for which no machine is there.
 #[derive(Clone, Debug)]
 pub(crate) struct Unplaced {
     pub job: String,
     pub count: u64,
-    pub zones: Option<BTreeMap<String, u64>>,
+    pub zones: ZonesLeft,
 }
 
 /// One task's share of its pool: processors, or accelerators. A machine that takes only one large
@@ -385,7 +387,7 @@
                 held.insert(name, m.row.owner.clone());
             }
         }
-        let mut order: Vec<(&String, &Job, u64, Option<BTreeMap<String, u64>>)> = self
+        let mut order: Vec<(&String, &Job, u64, ZonesLeft)> = self
             .jobs
             .iter()
             .map(|(id, j)| {
@@ -471,12 +473,7 @@
     }
 
     /// How many more tasks of a job each zone may take; none if the job does not mind.
-    pub(super) fn zones_left(
-        &self,
-        id: &str,
-        job: &Job,
-        rooms: &BTreeMap<&str, Resources>,
-    ) -> Option<BTreeMap<String, u64>> {
+    pub(super) fn zones_left(&self, id: &str, job: &Job, rooms: &BTreeMap<&str, Resources>) -> ZonesLeft {
         let spec = &job.spec;
         if !spec.one_zone && !spec.spread {
             return None;
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -158,7 +158,6 @@
     zone: String,
     spot: bool,
     rented: Micros,
-    up_at: Micros,
     dead: bool,
     cut_until: Micros,
     hung_until: Micros,
@@ -537,7 +536,6 @@
             zone: zone.into(),
             spot,
             rented: self.now,
-            up_at,
             dead: false,
             cut_until: Micros::ZERO,
             hung_until: Micros::ZERO,
@@ -611,7 +609,12 @@
             }
         }
         for id in completed {
-            self.jobs.entry(id.job.clone()).or_default().tasks_done.insert(id.index);
+            let wish = self.jobs.entry(id.job).or_default();
+            // The tasks of a gang complete together.
+            match wish.spec.as_ref().filter(|s| s.shape == Shape::Gang) {
+                Some(gang) => wish.tasks_done.extend(0..gang.tasks),
+                None => drop(wish.tasks_done.insert(id.index)),
+            }
         }
         begun.iter().for_each(|id| self.has_begun(&name, id));
         self.gangs();
@@ -690,7 +693,7 @@
 
     /// Gangs start once all their tasks wait, and fail together.
     fn gangs(&mut self) {
-        let mut gangs: BTreeMap<(String, u64), Vec<(String, TaskId, TaskState)>> = BTreeMap::new();
+        let mut gangs: BTreeMap<_, Vec<(String, TaskId, TaskState)>> = BTreeMap::new();
         for (name, w) in self.workers.iter().filter(|(_, w)| !w.dead) {
             for (id, t) in &w.tasks {
                 let spec = self.jobs.get(&id.job).and_then(|j| j.spec.as_ref());
@@ -715,13 +718,10 @@
                 };
                 if waiting == size && state == TaskState::Waiting {
                     (t.state, t.until) = (TaskState::Running, until);
-                } else if state == TaskState::Running && running + done < size {
-                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::Peers));
-                } else if state == TaskState::Running && done > 0 {
+                } else if state == TaskState::Running && done == size {
                     (t.state, t.cause) = (TaskState::Ended, Some(Cause::Done));
-                    if let Some(j) = self.jobs.get_mut(&job) {
-                        j.tasks_done.insert(id.index);
-                    }
+                } else if state == TaskState::Running && running < size {
+                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::Peers));
                 }
             }
         }
