Keep plain work off idle accelerator machines; rent for what turnover leaves

Cause (report windows): array tasks of 2 CPUs kept GPU machines at 4.92 an hour from ever being idle, and each burst rented for tasks that places in use would have taken before the machines were up.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -15,6 +15,8 @@
 const MOST_RENTED: u64 = 50;
 /// How much waiting work, in seconds of a machine's time, is worth renting one more.
 const WORTH: f64 = 45.0;
+/// What fetching an image adds to a task's time, about, in seconds.
+const FETCH: f64 = 10.0;
 /// How often the machine types and prices are read again.
 const TYPES_EVERY: Micros = Micros::from_secs(60);
 
@@ -291,10 +293,18 @@
             coming.extend((0..r.count).map(|_| (r.kind.clone(), r.zone.clone(), r.spot, supply)));
         }
         let mut wanted: BTreeMap<(String, String, bool), f64> = BTreeMap::new();
+        let mut turnover = BTreeMap::new();
         for u in &lead.unplaced {
             let Some(job) = self.jobs.get(&u.job) else { continue };
             let waiting = u64::from(job.unfinished().saturating_sub(job.placed()));
-            self.want_for(&job.spec, u.count.max(waiting), u.zones.as_ref(), &mut coming, &mut wanted);
+            self.want_for(
+                &job.spec,
+                u.count.max(waiting),
+                u.zones.as_ref(),
+                &mut coming,
+                &mut turnover,
+                &mut wanted,
+            );
         }
         // Jobs that were not admitted wait for machines too.
         let waits = |j: &&Job| j.volume == 0 && j.on.is_empty() && j.unfinished() > 0 && j.held_until <= now;
@@ -306,6 +316,7 @@
                     u64::from(job.unfinished()),
                     zones.as_ref(),
                     &mut coming,
+                    &mut turnover,
                     &mut wanted,
                 );
             }
@@ -332,14 +343,15 @@
         count: u64,
         zones: Option<&BTreeMap<String, u64>>,
         coming: &mut [(String, String, bool, Resources)],
+        turnover: &mut BTreeMap<bool, f64>,
         wanted: &mut BTreeMap<(String, String, bool), f64>,
     ) {
-        let Some(zones) = zones else { return self.want_in(spec, count, None, coming, wanted) };
+        let Some(zones) = zones else { return self.want_in(spec, count, None, coming, turnover, wanted) };
         // A job that minds zones asks in those that may take its tasks, and in all if none is left.
         let mut left = count;
         for (zone, most) in zones.iter().filter(|(_, most)| **most > 0) {
             let here = left.min(*most);
-            self.want_in(spec, here, Some(zone), coming, wanted);
+            self.want_in(spec, here, Some(zone), coming, turnover, wanted);
             left -= here;
         }
     }
@@ -350,6 +362,7 @@
         mut count: u64,
         only: Option<&String>,
         coming: &mut [(String, String, bool, Resources)],
+        turnover: &mut BTreeMap<bool, f64>,
         wanted: &mut BTreeMap<(String, String, bool), f64>,
     ) {
         let need = spec.need();
@@ -366,6 +379,20 @@
         if count == 0 {
             return;
         }
+        // By the time a new machine is up, places that are taken now will have been left.
+        let boot =
+            self.types.values().filter(|t| type_ok(&t.name) && need.fits(t.supply())).map(|t| t.boot_s);
+        let boot = boot.fold(f64::INFINITY, f64::min);
+        if spec.floor() == 1 && spec.estimate_s > 0.0 && boot.is_finite() {
+            let turns = boot / (spec.estimate_s + FETCH);
+            let left = turnover.entry(need.gpu > 0).or_insert_with(|| self.places_taken(spec) as f64 * turns);
+            let n = (*left as u64).min(count);
+            *left -= n as f64;
+            count -= n;
+            if count == 0 {
+                return;
+            }
+        }
         let mut options = Vec::new();
         for t in self.types.values().filter(|t| type_ok(&t.name) && need.fits(t.supply())) {
             if spec.gpus == 0.0
@@ -396,6 +423,16 @@
         *wanted.entry(key).or_default() += count as f64 / slots as f64 / turns;
     }
 
+    /// Places that tasks of the same kind of need hold now, and will leave.
+    fn places_taken(&self, spec: &JobSpec) -> usize {
+        let need = spec.need();
+        let serving = self.machines.values().filter(|m| m.up && !m.row.returning && !m.apart && !m.notice);
+        let alike = |t: &&crate::coordination::model::TaskOn| {
+            !t.ended() && (t.need.gpu > 0) == (need.gpu > 0) && t.need.cpu * 2 >= need.cpu
+        };
+        serving.map(|m| m.tasks.values().filter(alike).count()).sum()
+    }
+
     /// Machines that the teams' guarantees need: capacity that must be there before work comes.
     fn want_guarantee(
         &self,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::allows;
+use crate::coordination::placement::{allows, keeps_off};
 use crate::coordination::volumes::{Claim, share};
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::peer::PeerMessage;
@@ -430,7 +430,10 @@
                     }
                     let machine = &self.machines[name];
                     let mut room = rooms[name];
-                    if job.spec.gpus == 0.0 && !machine.idle() {
+                    if keeps_off(&job.spec, machine, room, per_card) {
+                        continue;
+                    }
+                    if job.spec.gpus == 0.0 && machine.supply.gpu > 0 {
                         room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
                     }
                     let here = zones.as_mut().map(|z| z.entry(machine.row.zone.clone()).or_default());
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -15,6 +15,16 @@
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
 
+/// Work without accelerators may use what accelerator work leaves of a machine that it has in use,
+/// but does not keep such a machine for itself: it costs several times as much.
+pub(super) fn keeps_off(spec: &JobSpec, machine: &Machine, room: Resources, per_card: u64) -> bool {
+    if spec.gpus > 0.0 || machine.supply.gpu == 0 || spec.types.is_some() {
+        return false;
+    }
+    let cards_in_use = machine.tasks.values().any(|t| !t.ended() && t.need.gpu > 0);
+    !cards_in_use || spec.need().cpu + room.gpu / 1000 * per_card > room.cpu
+}
+
 /// Whether a job's description allows a machine, apart from its other tasks.
 pub(super) fn allows(spec: &JobSpec, machine: &Machine) -> bool {
     spec.types.as_ref().is_none_or(|t| t.contains(&machine.row.kind))
@@ -346,12 +356,12 @@
                 if !need.fits(*room) || !allows(spec, machine) || !zone_ok(&machine.row.zone) {
                     return None;
                 }
-                // Work without accelerators takes only the processors that accelerator work leaves.
-                let kept = room.gpu / 1000 * per_card;
-                let in_the_way = kept > 0 && spec.gpus == 0.0 && need.cpu + kept > room.cpu;
+                if keeps_off(spec, machine, *room, per_card) {
+                    return None;
+                }
                 let cached = machine.images.contains(&spec.image);
                 let tight = room.cpu.saturating_sub(need.cpu);
-                Some(((in_the_way, !cached, tight), name))
+                Some(((!cached, tight), name))
             })
             .min()
             .map(|(_, name)| name.clone())
