Send starts straight to workers and ask granted machines how they stand

Cause: a start waited for the machine's next report, and a machine that changed hands for two of them. Direct orders whose fate is unclear leave the task where it may be, forbid forgetting, and get the machine a fresh token.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
 use crate::coordination::model::{Job, Machine};
+use crate::coordination::placement::allows;
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
 use crate::protocol::job::JobSpec;
@@ -156,7 +157,7 @@
         } else if !m.unused()
             && m.up
             && m.resolved
-            && m.idle()
+            && m.tasks.is_empty()
             && !m.notice
             && self.now.since(m.idle_since) > idle_most
         {
@@ -223,9 +224,11 @@
         let mut names = Vec::new();
         for name in idle {
             let m = &self.machines[&name];
-            if let Some(spare) =
-                spares.iter_mut().find(|(spec, n)| *n > 0 && super::placement::allows(spec, m))
-            {
+            // A gang may be waiting for this machine and for one that is still on its way up.
+            if self.lead.as_ref().is_some_and(|l| l.promised.contains(&name)) {
+                continue;
+            }
+            if let Some(spare) = spares.iter_mut().find(|(spec, n)| *n > 0 && allows(spec, m)) {
                 spare.1 = spare.1.saturating_sub(spare.0.need().times_in(m.supply));
                 continue;
             }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -31,6 +31,8 @@
     /// Machines that reported without being in any block.
     pub strays: BTreeMap<String, (BlockRow, Micros)>,
     pub fleet: Fleet,
+    /// Machines that the last round's plan counts on.
+    pub promised: BTreeSet<String>,
     /// Work that found no machine in the last round.
     pub unplaced: Vec<Unplaced>,
     /// Allotments of controllers that have left, until their tasks are accounted for.
@@ -398,6 +400,7 @@
         order.sort_by_key(|(_, j, ..)| (std::cmp::Reverse(j.spec.priority), j.stamp));
         let mut moves: BTreeMap<String, String> = BTreeMap::new();
         let mut unplaced = Vec::new();
+        let mut promised = BTreeSet::new();
         let per_card = self.cpu_per_card();
         // First what owners can do with what they have, then what must change hands.
         for pass in 0..2 {
@@ -447,6 +450,7 @@
                     }
                     let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
                     rooms.insert(name, rooms[name].minus(used));
+                    promised.insert(name.to_owned());
                     if pass == 1 {
                         moves.insert(name.to_owned(), owner.clone());
                         held.insert(name, owner.clone());
@@ -458,8 +462,12 @@
             }
         }
         self.spread_idle(&fresh, &mut moves, &held, &moved);
+        for (name, m) in self.machines.iter().filter(|(_, m)| m.renew && self.holds(m)) {
+            moves.entry(name.clone()).or_insert_with(|| m.row.owner.clone());
+        }
         if let Some(lead) = &mut self.lead {
             lead.unplaced = unplaced;
+            lead.promised = promised;
         }
         let known: Vec<BlockRow> = self
             .lead
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -6,7 +6,9 @@
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
 use crate::protocol::peer::{PeerMessage, StopRequest};
 use crate::protocol::units::Micros;
-use crate::protocol::worker::{Cause, Order, Report, ReportAnswer, TaskId, TaskState};
+use crate::protocol::worker::{
+    Cause, DirectOrders, DirectReply, Order, Report, ReportAnswer, TaskId, TaskState,
+};
 
 /// Orders in one answer: with the longest ids they stay far below 64 KiB.
 const MOST_ORDERS: usize = 300;
@@ -36,14 +38,22 @@
         }
         // A report held back on its way is older than what is known; a newer grant than the one
         // known here means that the machine is no longer this controller's.
-        let stale = (report.session, report.tally) <= (machine.session, machine.tally);
-        if stale || report.token > machine.row.token {
+        let newer = (report.session, report.tally) > (machine.session, machine.tally);
+        // Overtaken by the worker's reply to direct orders, it is answered all the same.
+        let overtaken = report.session == machine.session && report.tally > machine.reported;
+        if !(newer || overtaken) || report.token > machine.row.token {
             self.counters.reports_stale += 1;
             return self.answer(request, Answer::Later(1));
         }
         let name = report.machine.clone();
         let (session, tally) = (report.session, report.tally);
-        self.take_report(report);
+        if newer {
+            self.take_report(report, false);
+        }
+        if let Some(machine) = self.machines.get_mut(&name) {
+            machine.reported = tally;
+            machine.heard = Some(self.now);
+        }
         if std::mem::take(&mut self.place_due) {
             self.place();
         }
@@ -52,7 +62,7 @@
     }
 
     /// Updates what is known of a machine from its own words.
-    fn take_report(&mut self, report: Report) {
+    fn take_report(&mut self, report: Report, direct: bool) {
         tracing::trace!(?report, "report");
         let now = self.now;
         let name = report.machine;
@@ -79,11 +89,20 @@
             };
             seen.insert(id, on);
         }
-        // A start not yet sent stays planned. One sent in an earlier answer that this report does
-        // not show will not happen any more: the worker has one report in flight and drops answers
-        // of earlier ones.
+        // A start not yet sent stays planned. One sent in an earlier answer that a report does not
+        // show will not happen any more: the worker has one report in flight and drops answers of
+        // earlier ones. (Its reply to direct orders may overtake such an answer.) One sent directly
+        // may arrive as long as the worker has seen no newer token and begun no newer session.
         for (id, t) in &machine.tasks {
-            if t.pending == Some(Pending::Planned) {
+            let may_come = match t.pending {
+                Some(Pending::Planned) => true,
+                Some(Pending::Sent { session, .. }) => direct && session == report.session,
+                Some(Pending::Direct { session, token }) => {
+                    session == report.session && report.token <= token
+                }
+                None => false,
+            };
+            if may_come {
                 seen.entry(id.clone()).or_insert_with(|| t.clone());
             }
         }
@@ -106,7 +125,10 @@
         let news = changed || noticed != machine.notice || !was_ready;
         machine.session = report.session;
         machine.tally = report.tally;
-        machine.heard = Some(now);
+        if !report.addr.is_empty() {
+            machine.addr = report.addr;
+        }
+        machine.heard = machine.heard.filter(|_| direct).or(Some(now));
         machine.up = true;
         machine.notice = noticed;
         machine.dark_s = 0;
@@ -198,6 +220,7 @@
         let stored: Vec<TaskId> = self
             .machines
             .get(name)
+            .filter(|m| !m.renew)
             .map(|m| {
                 m.tasks
                     .iter()
@@ -238,6 +261,10 @@
             if orders.len() >= MOST_ORDERS {
                 break;
             }
+            if matches!(t.pending, Some(Pending::Direct { .. })) && t.stop.is_none() {
+                // Repeated: without effect where it has arrived.
+                orders.push(Order::Start { task: id.text(), attempt: t.attempt });
+            }
             if t.pending == Some(Pending::Planned) && t.stop.is_none() {
                 t.pending = Some(Pending::Sent { session, tally });
                 t.since = now;
@@ -259,6 +286,85 @@
         }
     }
 
+    /// Sends what is planned straight to the workers, rather than with the answers to their next
+    /// reports, and asks machines that have just been granted how they stand.
+    pub(super) fn speak(&mut self) {
+        if !self.entitled() || !self.placing {
+            return;
+        }
+        let now = self.now;
+        let recent = Micros(self.report_every.0 * 2);
+        let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
+        for (name, m) in &mut self.machines {
+            let mine = m.row.owner == self.settings.member && m.row.node == stamp;
+            if !mine || m.talking || m.addr.is_empty() || m.session == 0 || now < m.talk_after || m.renew {
+                continue;
+            }
+            let (session, token) = (m.session, m.row.token);
+            let mut orders = Vec::new();
+            if m.resolved {
+                if m.heard.is_none_or(|at| now.since(at) > recent) {
+                    continue;
+                }
+                for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
+                    if t.pending == Some(Pending::Planned) && t.stop.is_none() {
+                        t.pending = Some(Pending::Direct { session, token });
+                        t.since = now;
+                        self.counters.starts += 1;
+                        tracing::debug!(
+                            machine = name,
+                            task = id.text(),
+                            attempt = t.attempt,
+                            "run, directly"
+                        );
+                        orders.push(Order::Start { task: id.text(), attempt: t.attempt });
+                    }
+                }
+                if orders.is_empty() {
+                    continue;
+                }
+            } else {
+                // Without orders: the token alone fences the former owner's, and the reply says all.
+                m.talk_after = now + Micros::from_secs(1);
+            }
+            m.talking = true;
+            let orders = DirectOrders { token, session, orders };
+            self.effects.push(Effect::Orders { machine: name.clone(), addr: m.addr.clone(), orders });
+        }
+    }
+
+    pub(super) fn worker_replied(&mut self, name: &str, token: u64, reply: DirectReply) {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.row.token != token || m.row.owner != self.settings.member {
+            return;
+        }
+        m.talking = false;
+        match &reply {
+            DirectReply::Done(_) => {}
+            DirectReply::Rejected(_) | DirectReply::NotSent => {
+                // Certainly not carried out: the next report's answer takes them along.
+                for t in m.tasks.values_mut().filter(|t| matches!(t.pending, Some(Pending::Direct { .. }))) {
+                    t.pending = Some(Pending::Planned);
+                }
+                m.talk_after = now + Micros::from_secs(1);
+            }
+            DirectReply::Unclear => {
+                m.talk_after = now + Micros::from_secs(3);
+                m.renew |= m.tasks.values().any(|t| matches!(t.pending, Some(Pending::Direct { .. })));
+                self.soon_status();
+            }
+        }
+        if let DirectReply::Done(report) | DirectReply::Rejected(report) = reply
+            && let Some(m) = self.machines.get(name)
+        {
+            let newer = (report.session, report.tally) > (m.session, m.tally);
+            if newer && report.machine == *name && report.token <= m.row.token && self.entitled() {
+                self.take_report(*report, true);
+            }
+        }
+    }
+
     /// Asks for a task to be stopped, if this controller holds its machine.
     pub(super) fn request_stop(&mut self, name: &str, task: &TaskId, attempt: u64, grace: Micros) {
         if let Some(machine) = self.machines.get(name)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,7 +28,7 @@
 use crate::protocol::peer::{PeerMessage, Status};
 use crate::protocol::store::{StoreCall, StoreReply};
 use crate::protocol::units::{Micros, Resources};
-use crate::protocol::worker::{Report, ReportAnswer};
+use crate::protocol::worker::{DirectOrders, DirectReply, Report, ReportAnswer};
 use crate::settings::{Settings, Tuning};
 
 pub use model::{Job, Machine};
@@ -51,6 +51,12 @@
     Cloud(CallId, CloudReply),
     Peer(String, PeerMessage),
     Report(RequestId, Report),
+    /// A worker's reply to direct orders under a token.
+    Worker {
+        machine: String,
+        token: u64,
+        reply: DirectReply,
+    },
     Submit(RequestId, Box<JobSpec>),
     Query(RequestId, String),
     Withdraw(RequestId, String),
@@ -61,6 +67,12 @@
     Store(CallId, StoreCall),
     Cloud(CallId, CloudCall),
     Answer(RequestId, Answer),
+    /// Orders to a worker's own address.
+    Orders {
+        machine: String,
+        addr: String,
+        orders: DirectOrders,
+    },
     /// To one controller, or to all others.
     Send(Option<String>, PeerMessage),
 }
@@ -330,6 +342,7 @@
             }
             Event::Peer(from, message) => self.peer_said(from, message),
             Event::Report(request, report) => self.reported(request, report),
+            Event::Worker { machine, token, reply } => self.worker_replied(&machine, token, reply),
             Event::Submit(request, spec) => self.submitted(request, spec),
             Event::Query(request, job) => self.queried(request, job),
             Event::Withdraw(request, job) => self.withdrawal(request, job),
@@ -337,6 +350,7 @@
         if self.place_due {
             self.place_due = false;
             self.place();
+            self.speak();
         }
         self.send_calls();
         std::mem::take(&mut self.effects)
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -121,6 +121,12 @@
         session: u64,
         tally: u64,
     },
+    /// Sent to the worker's address under this token, to this session. Unless the worker says so it
+    /// may arrive minutes later, as long as both still hold.
+    Direct {
+        session: u64,
+        token: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -152,6 +158,14 @@
     pub supply: Resources,
     pub session: u64,
     pub tally: u64,
+    /// The last report's; `tally` also counts replies to direct orders.
+    pub reported: u64,
+    pub addr: String,
+    /// A direct call is on its way.
+    pub talking: bool,
+    pub talk_after: Micros,
+    /// A direct order may still arrive: nothing is forgotten until a fresh token rules that out.
+    pub renew: bool,
     pub heard: Option<Micros>,
     pub answered: Option<Micros>,
     /// Since when no former owner can answer it any more.
@@ -182,6 +196,11 @@
             supply,
             session: 0,
             tally: 0,
+            reported: 0,
+            addr: String::new(),
+            talking: false,
+            talk_after: Micros::ZERO,
+            renew: false,
             heard: None,
             answered: None,
             former_gone: None,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -444,8 +444,12 @@
     }
 
     /// A task has completed, as its machine's owner has it from the worker.
+    ///
+    /// Only the job's owner notes it: it alone records it, and a leader that knew better than the
+    /// owner would give a job whose completion was lost with its machine no volume ever again.
     pub(super) fn completed(&mut self, task: &TaskId) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        let me = self.settings.member.clone();
+        if let Some(job) = self.jobs.get_mut(&task.job).filter(|j| j.owner.as_ref() == Some(&me)) {
             let new = job.complete(task.index);
             if new && job.unfinished() == 0 {
                 self.flush_at = self.now;
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -9,7 +9,7 @@
 use crate::protocol::peer::{MachineStatus, PeerMessage, Status, TaskStatus};
 use crate::protocol::store::{Change, Entry, StoreReply};
 use crate::protocol::units::{Micros, Resources};
-use crate::protocol::worker::{TaskId, TaskState};
+use crate::protocol::worker::{Cause, TaskId, TaskState};
 
 /// Least time between two requests for changes: the store's limit on requests is shared by all.
 const FOLLOW_SPACING: Micros = Micros::from_millis(100);
@@ -215,6 +215,9 @@
             machine.heard = None;
             machine.answered = None;
             machine.former_gone = None;
+            machine.talking = false;
+            machine.renew = false;
+            machine.talk_after = Micros::ZERO;
             machine.up = false;
             machine.dark_s = 0;
             machine.idle_since = now;
@@ -334,6 +337,10 @@
             machine: m.row.machine.clone(),
             token: m.row.token,
             resolved: m.resolved,
+            renew: m.renew,
+            addr: m.addr.clone(),
+            session: m.session,
+            tally: m.tally,
             up: m.up,
             apart: m.apart,
             notice: m.notice,
@@ -401,7 +408,7 @@
         let mut seen = std::collections::BTreeMap::new();
         let mut completed = Vec::new();
         for t in told.tasks {
-            if t.state == TaskState::Ended && t.cause == Some(crate::protocol::worker::Cause::Done) {
+            if t.state == TaskState::Ended && t.cause == Some(Cause::Done) {
                 completed.push(t.task.clone());
             }
             let on = TaskOn {
@@ -427,6 +434,10 @@
         self.set_tasks(&told.machine, seen);
         if let Some(machine) = self.machines.get_mut(&told.machine) {
             machine.resolved = told.resolved;
+            machine.renew = told.renew;
+            machine.addr = told.addr;
+            (machine.session, machine.tally) =
+                (machine.session, machine.tally).max((told.session, told.tally));
             machine.spoken = applied;
             machine.up = told.up;
             machine.apart = told.apart;
@@ -464,6 +475,10 @@
                 count += usize::from(std::mem::take(&mut job.adopting));
             }
             tracing::info!(jobs = count, "took over");
+            let done = |t: &TaskOn| t.ended() && t.cause == Some(Cause::Done);
+            let machines = self.machines.values().flat_map(|m| &m.tasks);
+            let ended: Vec<TaskId> = machines.filter(|(_, t)| done(t)).map(|(id, _)| id.clone()).collect();
+            ended.iter().for_each(|id| self.completed(id));
             self.soon_status();
             self.place_due = true;
         }
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -15,7 +15,9 @@
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::store::{Change, Entry, News, Page, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
-use crate::protocol::worker::{Cause, Order, Report, ReportAnswer, ReportedTask, TaskId, TaskState};
+use crate::protocol::worker::{
+    Cause, DirectOrders, DirectReply, Order, Report, ReportAnswer, ReportedTask, TaskId, TaskState,
+};
 use crate::settings::{Settings, Tuning};
 
 const MS: u64 = 1_000;
@@ -174,6 +176,38 @@
     notice: Option<Micros>,
 }
 
+impl Worker {
+    /// Past its lease, a worker ends all tasks and begins its next session.
+    fn lapse(&mut self, now: Micros) {
+        if now.since(self.renewed) > Micros::from_secs(14) {
+            self.tasks.clear();
+            self.session += 1;
+            self.renewed = now;
+        }
+    }
+
+    fn report(&self, name: &str, now: Micros) -> Report {
+        let tasks = self.tasks.iter().map(|(id, t)| ReportedTask {
+            task: id.text(),
+            attempt: t.attempt,
+            state: t.state,
+            cause: t.cause,
+        });
+        Report {
+            machine: name.to_owned(),
+            addr: name.to_owned(),
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            tally: self.tally,
+            token: self.token,
+            notice_s: self.notice.map(|at| at.since(now).as_secs_f64()),
+            tasks: tasks.collect(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Wish {
     spec: Option<JobSpec>,
@@ -195,6 +229,8 @@
     ReportAnswered { machine: String, session: u64, tally: u64, answer: Option<Answer> },
     User(String),
     UserAnswered { job: String, withdraw: bool, answer: Answer },
+    Orders { node: usize, life: u64, machine: String, orders: DirectOrders },
+    LateOrders { machine: String, orders: DirectOrders },
     LateCommit(Transaction),
 }
 
@@ -375,6 +411,10 @@
                 Effect::Cloud(id, call) => {
                     self.soon(50 * MS, 200 * MS, Happening::CloudCall { node, life, id, call })
                 }
+                Effect::Orders { machine, addr, orders } => {
+                    assert_eq!(addr, machine, "an address is made up");
+                    self.soon(MS, 5 * MS, Happening::Orders { node, life, machine, orders });
+                }
                 Effect::Send(to, message) => self.send(node, to, message),
                 Effect::Answer(request, answer) => self.answered(node, life, request, answer),
             }
@@ -480,6 +520,13 @@
                 let event = Event::Cloud(id, reply);
                 self.soon(50 * MS, 200 * MS, Happening::ToController { node, life, event });
             }
+            Happening::Orders { node, life, machine, orders } => {
+                let token = orders.token;
+                let reply = self.direct(&machine, orders);
+                let event = Event::Worker { machine, token, reply };
+                self.soon(MS, 5 * MS, Happening::ToController { node, life, event });
+            }
+            Happening::LateOrders { machine, orders } => drop(self.execute(&machine, orders)),
             Happening::Worker(name) => self.worker_turn(name),
             Happening::ReportAnswered { machine, session, tally, answer } => {
                 self.report_answered(machine, session, tally, answer);
@@ -558,7 +605,6 @@
     /// Advances a worker: its lease, its tasks, its reports.
     fn worker_turn(&mut self, name: String) {
         let now = self.now;
-        let lease = Micros::from_secs(14);
         let Some(w) = self.workers.get_mut(&name) else { return };
         if w.dead {
             return;
@@ -567,11 +613,7 @@
             let until = w.hung_until;
             return self.at(until, Happening::Worker(name));
         }
-        if now.since(w.renewed) > lease {
-            w.tasks.clear();
-            w.session += 1;
-            w.renewed = now;
-        }
+        w.lapse(now);
         let mut changed = false;
         let mut completed = Vec::new();
         let mut begun = Vec::new();
@@ -628,27 +670,7 @@
             w.tally += 1;
             w.waiting = Some((w.session, w.tally, now));
             w.next_report = now + Micros(self.rng.random_range(1_875 * MS..3_125 * MS));
-            let report = Report {
-                machine: name.clone(),
-                addr: String::new(),
-                kind: w.kind.clone(),
-                zone: w.zone.clone(),
-                spot: w.spot,
-                session: w.session,
-                tally: w.tally,
-                token: w.token,
-                notice_s: w.notice.map(|at| at.since(now).as_secs_f64()),
-                tasks: w
-                    .tasks
-                    .iter()
-                    .map(|(id, t)| ReportedTask {
-                        task: id.text(),
-                        attempt: t.attempt,
-                        state: t.state,
-                        cause: t.cause,
-                    })
-                    .collect(),
-            };
+            let report = w.report(&name, now);
             let (node, cut) = (w.target, w.cut_until > now);
             let (session, tally) = (w.session, w.tally);
             let late = self.trouble.late;
@@ -727,6 +749,49 @@
         }
     }
 
+    /// Orders to a worker's own address: they may be lost on the way, or arrive a minute later, or
+    /// only the reply may be lost.
+    fn direct(&mut self, machine: &str, orders: DirectOrders) -> DirectReply {
+        let now = self.now;
+        let unreachable = self.workers.get(machine).is_none_or(|w| w.dead);
+        if unreachable {
+            return DirectReply::NotSent;
+        }
+        let held_up = self.workers.get(machine).is_some_and(|w| w.cut_until > now || w.hung_until > now);
+        if held_up || self.lost() {
+            if self.rng.random_bool(0.7) {
+                let machine = machine.to_owned();
+                self.soon(MS, 60 * S, Happening::LateOrders { machine, orders });
+            }
+            return DirectReply::Unclear;
+        }
+        let reply = self.execute(machine, orders);
+        if self.lost() { DirectReply::Unclear } else { reply }
+    }
+
+    fn execute(&mut self, machine: &str, orders: DirectOrders) -> DirectReply {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(machine) else { return DirectReply::NotSent };
+        if w.dead {
+            return DirectReply::NotSent;
+        }
+        w.lapse(now);
+        w.tally += 1;
+        if orders.token < w.token || orders.session != w.session {
+            return DirectReply::Rejected(Box::new(w.report(machine, now)));
+        }
+        if orders.token > w.token {
+            w.next_report = w.next_report.min(now + Micros::from_millis(500));
+        }
+        w.token = orders.token;
+        let supply =
+            self.types.iter().find(|t| t.name == w.kind).map(MachineType::supply).unwrap_or_default();
+        for order in orders.orders {
+            self.obey(machine, order, supply);
+        }
+        DirectReply::Done(Box::new(self.workers[machine].report(machine, now)))
+    }
+
     fn report_answered(&mut self, name: String, session: u64, tally: u64, answer: Option<Answer>) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(&name) else { return };
@@ -1100,7 +1165,7 @@
     for id in services {
         world.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
     }
-    let end = world.now + Micros::from_secs(400);
+    let end = world.now + Micros::from_secs(700);
     world.run(end);
     for (id, wish) in &world.jobs {
         assert!(
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -20,6 +20,11 @@
     pub token: u64,
     /// The list of tasks is complete: nothing older can still change it.
     pub resolved: bool,
+    /// A fresh token is wanted: an order sent directly may still arrive.
+    pub renew: bool,
+    pub addr: String,
+    pub session: u64,
+    pub tally: u64,
     pub up: bool,
     pub apart: bool,
     pub notice: bool,
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -126,6 +126,30 @@
     },
 }
 
+/// Orders sent to a worker's own address.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct DirectOrders {
+    #[serde(rename = "Helm")]
+    pub token: u64,
+    #[serde(rename = "Watch")]
+    pub session: u64,
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+/// What came of them.
+#[derive(Clone, Debug)]
+pub enum DirectReply {
+    /// Carried out, and how the worker stands after it.
+    Done(Box<Report>),
+    /// Nothing was carried out: another token or session.
+    Rejected(Box<Report>),
+    /// The worker was never reached.
+    NotSent,
+    /// They may have been carried out, or may yet be.
+    Unclear,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ReportAnswer {
     #[serde(rename = "Helm")]
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -13,8 +13,10 @@
 /// The largest response that is read.
 const MOST: usize = 16 << 20;
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, PartialEq, thiserror::Error)]
 pub enum HttpError {
+    #[error("no connection")]
+    Unconnected,
     #[error("no answer in time")]
     Timeout,
     #[error("the connection failed")]
@@ -41,12 +43,17 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(std::time::Duration::from_secs(20))
-            .pool_max_idle_per_host(4)
+            .pool_max_idle_per_host(2)
             .retry_canceled_requests(false)
             .build(connector);
         HttpClient { base: format!("http://{addr}"), client }
     }
 
+    /// The same client for another address.
+    pub fn at(&self, addr: &str) -> Self {
+        HttpClient { base: format!("http://{addr}"), client: self.client.clone() }
+    }
+
     pub async fn request(
         &self,
         method: &str,
@@ -63,7 +70,9 @@
             .body(Full::new(Bytes::from(body.unwrap_or_default())))
             .map_err(|_| HttpError::Broken)?;
         let exchange = async {
-            let response = self.client.request(request).await.map_err(|_| HttpError::Broken)?;
+            let response = self.client.request(request).await;
+            let response = response
+                .map_err(|e| if e.is_connect() { HttpError::Unconnected } else { HttpError::Broken })?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), MOST).collect().await;
             let body = body.map_err(|_| HttpError::Broken)?.to_bytes();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod links;
 pub mod runtime;
 pub mod server;
+pub mod workers;
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -11,6 +11,7 @@
 use super::cloud;
 use super::links::{self, Links};
 use super::server::{self, Shared};
+use super::workers;
 use crate::bookkeeping::client as store;
 use crate::coordination::{Answer, Controller, Effect, Event, RequestId};
 use crate::protocol::peer::PeerMessage;
@@ -48,6 +49,8 @@
     let state = HttpClient::new(&settings.external.state);
     let cloud = HttpClient::new(&settings.external.cloud);
 
+    let worker = HttpClient::new("");
+
     let seed = rand::random();
     let mut controller = Controller::new(settings, tuning, seed);
     let mut waiting: HashMap<RequestId, oneshot::Sender<Answer>> = HashMap::new();
@@ -81,6 +84,14 @@
                 }
                 Effect::Send(Some(to), message) => links.send(&to, &message),
                 Effect::Send(None, message) => links.broadcast(&message),
+                Effect::Orders { machine, addr, orders } => {
+                    let (http, inputs) = (worker.at(&addr), inputs.clone());
+                    tokio::spawn(async move {
+                        let reply = workers::send(&http, &orders).await;
+                        let event = Event::Worker { machine, token: orders.token, reply };
+                        let _ = inputs.send(Input::Reply(event)).await;
+                    });
+                }
                 Effect::Store(id, call) => {
                     let (http, inputs) = (state.clone(), inputs.clone());
                     tokio::spawn(async move {
