--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,7 +5,6 @@
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::allows;
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
 use crate::protocol::job::JobSpec;
@@ -220,7 +219,6 @@
     fn not_needed(&self, idle: Vec<String>) -> Vec<String> {
         let (cpu, gpu) = self.guaranteed();
         let mut has = self.standing_supply();
-        let mut spares = self.spares_wanted();
         let mut names = Vec::new();
         for name in idle {
             let m = &self.machines[&name];
@@ -228,8 +226,7 @@
             if self.lead.as_ref().is_some_and(|l| l.promised.contains(&name)) {
                 continue;
             }
-            if let Some(spare) = spares.iter_mut().find(|(spec, n)| *n > 0 && allows(spec, m)) {
-                spare.1 = spare.1.saturating_sub(spare.0.need().times_in(m.supply));
+            if self.kept.contains_key(&name) {
                 continue;
             }
             let less = has.minus(m.supply);
@@ -256,22 +253,6 @@
         stay.fold(Resources::default(), |sum, m| sum.plus(m.supply))
     }
 
-    /// Room to keep for classes that must start sooner than any machine boots.
-    fn spares_wanted(&self) -> Vec<(JobSpec, u64)> {
-        let quickest = self.types.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
-        let urgent = self.settings.params.objectives.iter().filter(|o| {
-            o.kind == "wait" && o.within_s.is_some_and(|w| w < quickest) && o.share.is_some_and(|s| s > 0.5)
-        });
-        let classes: BTreeSet<&String> = urgent.filter_map(|o| o.class.as_ref()).collect();
-        classes
-            .iter()
-            .filter_map(|class| {
-                let job = self.jobs.values().filter(|j| j.spec.class == **class).max_by_key(|j| j.stamp)?;
-                Some((job.spec.clone(), u64::from(job.spec.floor())))
-            })
-            .collect()
-    }
-
     /// Decides what to rent for the work that found no room.
     pub(super) fn size_fleet(&mut self) {
         let now = self.now;
@@ -324,6 +305,19 @@
                 );
             }
         }
+        // Room to keep for classes that no machine could boot in time for.
+        for (class, spec) in &self.quick {
+            let there = self.kept.values().filter(|c| *c == class).count();
+            let lacking = self.slots_kept(spec).saturating_sub(there) as u64;
+            self.want_for(
+                spec,
+                lacking,
+                None,
+                &mut coming,
+                &mut BTreeMap::from([(spec.gpus > 0.0, 0.0)]),
+                &mut wanted,
+            );
+        }
         self.want_guarantee(&coming, &mut wanted);
         let mut asked = false;
         for ((kind, zone, spot), machines) in wanted {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -267,9 +267,10 @@
         let volumes = self.volumes();
         let leader = self.leader.as_ref().map_or(0, |l| l.2);
         let round = self.lead.as_ref().map_or(0, |l| l.round);
-        let message = PeerMessage::Volumes { leader, round, volumes: volumes.clone() };
+        let kept = self.choose_kept();
+        let message = PeerMessage::Volumes { leader, round, volumes: volumes.clone(), kept: kept.clone() };
         self.effects.push(Effect::Send(None, message));
-        self.take_volumes(volumes);
+        self.take_volumes(volumes, kept);
         if self.lead.as_ref().is_some_and(|l| l.granting) {
             return;
         }
@@ -357,6 +358,41 @@
         }
     }
 
+    /// Machines on which room is kept for classes that must start sooner than a machine boots: those
+    /// that fetch images fastest, whose room is free or will be as less urgent tasks end.
+    fn choose_kept(&self) -> Vec<(String, String)> {
+        let mut kept: Vec<(String, String)> = Vec::new();
+        for (class, spec) in &self.quick {
+            let need = spec.need();
+            let mut options: Vec<(bool, u64, u64, &String)> = Vec::new();
+            for (name, m) in self.machines.iter().filter(|(_, m)| self.serving(m) && allows(spec, m)) {
+                let urgent = |j: &Job| j.spec.priority >= spec.priority;
+                let stays =
+                    m.tasks.iter().filter(|(id, t)| !t.ended() && self.jobs.get(&id.job).is_none_or(urgent));
+                let room = stays.fold(m.supply, |room, (_, t)| room.minus(t.need));
+                let Some(kind) = self.types.get(&m.row.kind) else { continue };
+                if need.fits(room) && !(spec.gpus == 0.0 && m.supply.gpu > 0) {
+                    let was = self.kept.get(name) == Some(class);
+                    options.push((
+                        !was,
+                        (1e6 / kind.fetch_gb_per_s.max(1e-3)) as u64,
+                        (kind.price * 1e3) as u64,
+                        name,
+                    ));
+                }
+            }
+            options.sort_by_key(|(was, slow, price, name)| (*slow, *was, *price, *name));
+            let most = self.slots_kept(spec);
+            kept.extend(options.into_iter().take(most).map(|(.., name)| (name.clone(), class.clone())));
+        }
+        kept
+    }
+
+    /// Tasks of a class for which room is kept.
+    pub(super) fn slots_kept(&self, spec: &crate::protocol::job::JobSpec) -> usize {
+        2 * spec.floor() as usize
+    }
+
     /// Which machines should change hands so that every job's owner can reach its volume.
     fn plan_blocks(&mut self) -> (BTreeMap<String, String>, Vec<BlockRow>) {
         let now = self.now;
@@ -411,7 +447,7 @@
                     .iter()
                     .filter(|(name, room)| {
                         let own = held.get(*name) == Some(owner);
-                        need.fits(**room)
+                        need.fits(self.room_for(&job.spec, name, **room))
                             && own == (pass == 0)
                             && (own || !moved.contains(**name))
                             && self.machines.get(**name).is_some_and(|m| allows(&job.spec, m))
@@ -432,7 +468,7 @@
                         break;
                     }
                     let machine = &self.machines[name];
-                    let mut room = rooms[name];
+                    let mut room = self.room_for(&job.spec, name, rooms[name]);
                     if keeps_off(&job.spec, machine, room, per_card) {
                         continue;
                     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -247,6 +247,10 @@
     pub(crate) types_at: Option<Micros>,
     pub(crate) peers: BTreeMap<String, Peer>,
     /// Machines not yet accounted for since jobs were taken over.
+    /// The latest job of each class that must start sooner than a machine boots.
+    pub(crate) quick: BTreeMap<String, JobSpec>,
+    /// Machines with room kept for such a class.
+    pub(crate) kept: BTreeMap<String, String>,
     pub(crate) unresolved: BTreeSet<String>,
     pub(crate) finals: FinalCache,
     pub(crate) lead: Option<leader::Leading>,
@@ -304,6 +308,8 @@
             types: BTreeMap::new(),
             types_at: None,
             peers: BTreeMap::new(),
+            quick: BTreeMap::new(),
+            kept: BTreeMap::new(),
             unresolved: BTreeSet::new(),
             finals: FinalCache::new(tuning.final_cache),
             lead: None,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -119,6 +119,27 @@
         }
     }
 
+    /// Whether a class must start sooner than any machine boots.
+    pub(super) fn is_quick(&self, class: &str) -> bool {
+        let quickest = self.types.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        self.settings.params.objectives.iter().any(|o| {
+            o.kind == "wait"
+                && o.class.as_deref() == Some(class)
+                && o.within_s.is_some_and(|w| w < quickest)
+                && o.share.is_some_and(|s| s > 0.5)
+        })
+    }
+
+    /// What a job may take of a machine's room, some of which may be kept for a more urgent class.
+    pub(super) fn room_for(&self, spec: &JobSpec, name: &str, room: Resources) -> Resources {
+        match self.kept.get(name).and_then(|class| self.quick.get(class)) {
+            Some(kept) if kept.class != spec.class && kept.priority >= spec.priority => {
+                room.minus(kept.need())
+            }
+            _ => room,
+        }
+    }
+
     /// Whether tasks may be started on a machine now.
     fn usable(&self, machine: &Machine) -> bool {
         let recent = Micros(self.report_every.0 * 3);
@@ -353,7 +374,10 @@
             .iter()
             .filter_map(|(name, room)| {
                 let machine = self.machines.get(name)?;
-                if !need.fits(*room) || !allows(spec, machine) || !zone_ok(&machine.row.zone) {
+                if !need.fits(self.room_for(spec, name, *room))
+                    || !allows(spec, machine)
+                    || !zone_ok(&machine.row.zone)
+                {
                     return None;
                 }
                 if keeps_off(spec, machine, *room, per_card) {
@@ -434,7 +458,8 @@
     }
 
     /// The leader's volumes. A job it does not name is not admitted.
-    pub(super) fn take_volumes(&mut self, volumes: Vec<(String, u32)>) {
+    pub(super) fn take_volumes(&mut self, volumes: Vec<(String, u32)>, kept: Vec<(String, String)>) {
+        self.kept = kept.into_iter().collect();
         self.volumes_heard = self.now;
         let named: BTreeMap<String, u32> = volumes.into_iter().collect();
         for (id, job) in &mut self.jobs {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -100,6 +100,9 @@
             if !self.jobs.contains_key(job)
                 && let Ok(spec) = serde_json::from_value::<JobSpec>(value)
             {
+                if self.is_quick(&spec.class) {
+                    self.quick.insert(spec.class.clone(), spec.clone());
+                }
                 let mut job_state = Job::new(spec, stamp, self.now);
                 job_state.owner = self.owner_of(job);
                 for (name, machine) in &self.machines {
@@ -374,9 +377,9 @@
         }
         match message {
             PeerMessage::Status(status) => self.peer_status(from, status),
-            PeerMessage::Volumes { leader, volumes, .. } => {
+            PeerMessage::Volumes { leader, volumes, kept, .. } => {
                 if self.leader.as_ref().is_some_and(|l| l.0 == from && l.2 == leader) {
-                    self.take_volumes(volumes);
+                    self.take_volumes(volumes, kept);
                 }
             }
             PeerMessage::Stray { machine, kind, zone, spot } => self.stray(machine, kind, zone, spot),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -67,6 +67,9 @@
         leader: u64,
         round: u64,
         volumes: Vec<(String, u32)>,
+        /// Room on some machines is kept for jobs of a class that must start sooner than any machine
+        /// boots: machine and class.
+        kept: Vec<(String, String)>,
     },
     /// A machine that reports but is not in any block.
     Stray {
