--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -151,7 +151,7 @@
             Some("slow to boot")
         } else if m.apart {
             Some("faulty")
-        } else if !m.unused() && m.resolved && m.dark_s > lease_s + 25 {
+        } else if !m.unused() && m.resolved && self.dark(m) > lease_s + 25 {
             Some("silent")
         } else if !m.unused()
             && m.up
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -28,6 +28,8 @@
     /// A grant is on its way: the next one builds on what it leaves.
     pub granting: bool,
     pub moved: BTreeMap<String, Micros>,
+    /// Machines that turned to a controller that is not their owner.
+    pub heard: BTreeMap<String, (String, Micros)>,
     /// Machines that reported without being in any block.
     pub strays: BTreeMap<String, (BlockRow, Micros)>,
     pub fleet: Fleet,
@@ -260,7 +262,7 @@
             && !machine.notice
             && self.holds(machine)
             && machine.up
-            && machine.dark_s < 10
+            && self.dark(machine) < 10
     }
 
     fn round(&mut self) {
@@ -322,7 +324,7 @@
                     continue;
                 }
                 left -= cost;
-                let priority = job.spec.priority.weight();
+                let priority = job.spec.priority.weight() * self.urgency(job);
                 claims.push((id, job, Claim { priority, demand: job.unfinished(), floor, size }));
             }
             self.cap_by_team(&mut claims, accelerated);
@@ -333,6 +335,26 @@
         volumes
     }
 
+    /// Within a rank, between 1 and 8: jobs that can still be done in the time their class aims at
+    /// come before those that cannot, and of these the ones with little left before those with much.
+    ///
+    /// With equal priorities a full pool is shared so that all jobs finish late together.
+    fn urgency(&self, job: &Job) -> f64 {
+        let aims = self
+            .settings
+            .params
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(job.spec.class.as_str()));
+        let age = self.now.since(job.since).as_secs_f64();
+        let mut due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
+        if due.any(|within| within - age > job.spec.estimate_s * 0.5) {
+            2.0 + 6.0 / f64::from(job.unfinished().max(1)).sqrt()
+        } else {
+            1.0
+        }
+    }
+
     /// Lowers demands to the same fair fill of each team's limit.
     fn cap_by_team(&self, claims: &mut [(&String, &Job, Claim)], accelerated: bool) {
         for team in &self.settings.params.teams {
@@ -498,6 +520,7 @@
             }
         }
         self.spread_idle(&fresh, &mut moves, &held, &moved);
+        self.rescue(&mut moves);
         for (name, m) in self.machines.iter().filter(|(_, m)| m.renew && self.holds(m)) {
             moves.entry(name.clone()).or_insert_with(|| m.row.owner.clone());
         }
@@ -519,6 +542,31 @@
         (moves, known)
     }
 
+    pub(super) fn heard_elsewhere(&mut self, machine: String, by: String) {
+        let now = self.now;
+        if let Some(lead) = &mut self.lead {
+            lead.heard.insert(machine, (by, now));
+        }
+    }
+
+    /// A machine that its owner has not heard for a while, and another controller has, goes to that
+    /// one before its lease runs out and its tasks are lost: the way to its owner is cut.
+    fn rescue(&self, moves: &mut BTreeMap<String, String>) {
+        let Some(lead) = &self.lead else { return };
+        let silent = (self.report_every.as_secs_f64() * 2.0 + 1.0) as u32;
+        for (name, (by, at)) in &lead.heard {
+            let recent = self.now.since(*at) < Micros::from_secs(6) && self.nodes.contains_key(by);
+            let Some(m) = self.machines.get(name).filter(|m| !m.unused() && !m.row.returning) else {
+                continue;
+            };
+            let word = self.peers.get(&m.row.owner).map_or(Micros::MAX, |p| self.now.since(p.heard));
+            let unheard = self.dark(m) >= silent || word > Micros::from_secs(u64::from(silent));
+            if recent && unheard && m.row.owner != *by && !lead.moved.contains_key(name) {
+                moves.insert(name.clone(), by.clone());
+            }
+        }
+    }
+
     /// How many more tasks of a job each zone may take; none if the job does not mind.
     pub(super) fn zones_left(&self, id: &str, job: &Job, rooms: &BTreeMap<&str, Resources>) -> ZonesLeft {
         let spec = &job.spec;
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::coordination::model::{Pending, TaskOn};
+use crate::coordination::model::{Machine, Pending, TaskOn};
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
 use crate::protocol::peer::{PeerMessage, StopRequest};
 use crate::protocol::units::Micros;
@@ -34,6 +34,7 @@
             // Sending a worker to a controller that has gone would only send it round in circles.
             let owner = machine.row.owner.clone();
             let there = owner != self.me() && self.nodes.get(&owner) == Some(&machine.row.node);
+            self.report_heard(&report.machine);
             return self.answer(request, Answer::Elsewhere(there.then_some(owner)));
         }
         // A report held back on its way is older than what is known; a newer grant than the one
@@ -398,6 +399,26 @@
         stops
     }
 
+    /// Seconds since a machine's owner heard it.
+    pub(super) fn dark(&self, machine: &Machine) -> u32 {
+        if self.owns(machine) {
+            self.now.since(machine.heard.unwrap_or(machine.since)).as_secs_f64() as u32
+        } else {
+            machine.dark_s
+        }
+    }
+
+    /// Passes on that a machine has turned to this controller instead of its owner.
+    fn report_heard(&mut self, machine: &str) {
+        let me = self.settings.member.clone();
+        if self.lead.is_some() {
+            self.heard_elsewhere(machine.to_owned(), me);
+        } else if let Some((leader, ..)) = &self.leader {
+            let heard = PeerMessage::Heard { machine: machine.to_owned() };
+            self.effects.push(Effect::Send(Some(leader.clone()), heard));
+        }
+    }
+
     /// Passes on that a machine is up which no block names.
     fn report_stray(&mut self, report: Report) {
         let stray = PeerMessage::Stray {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -348,7 +348,7 @@
             apart: m.apart,
             notice: m.notice,
             idle_s: if m.idle() { self.now.since(m.idle_since).as_secs_f64() as u32 } else { 0 },
-            dark_s: self.now.since(m.heard.unwrap_or(m.since)).as_secs_f64() as u32,
+            dark_s: self.dark(m),
             tasks: m
                 .tasks
                 .iter()
@@ -382,6 +382,7 @@
                     self.take_volumes(volumes, kept);
                 }
             }
+            PeerMessage::Heard { machine } => self.heard_elsewhere(machine, from),
             PeerMessage::Stray { machine, kind, zone, spot } => self.stray(machine, kind, zone, spot),
         }
     }
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -35,9 +35,9 @@
     pub fn weight(self) -> f64 {
         match self {
             Priority::Low => 1.0,
-            Priority::Normal => 4.0,
-            Priority::High => 16.0,
-            Priority::Production => 64.0,
+            Priority::Normal => 16.0,
+            Priority::High => 256.0,
+            Priority::Production => 4096.0,
         }
     }
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -71,6 +71,10 @@
         /// boots: machine and class.
         kept: Vec<(String, String)>,
     },
+    /// A machine reports to the sender, whose it is not: perhaps it cannot reach its owner.
+    Heard {
+        machine: String,
+    },
     /// A machine that reports but is not in any block.
     Stray {
         machine: String,
