--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -17,6 +17,7 @@
 pub const LIVE: &str = "c/live/";
 pub const DONE: &str = "c/done/";
 pub const NODE: &str = "c/node/";
+pub const EVICTED: &str = "c/evicted/";
 pub const BLOCKS: &str = "c/blocks/";
 pub const RENTAL: &str = "c/rental/";
 
@@ -36,6 +37,10 @@
     format!("{NODE}{member}")
 }
 
+pub fn evicted(member: &str) -> String {
+    format!("{EVICTED}{member}")
+}
+
 pub fn blocks(shard: usize) -> String {
     format!("{BLOCKS}{shard:04}")
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -14,7 +14,7 @@
 /// The most machines one request asks for.
 const MOST_RENTED: u64 = 50;
 /// How much waiting work, in seconds of a machine's time, is worth renting one more.
-const WORTH: f64 = 45.0;
+const WORTH: f64 = 90.0;
 /// What fetching an image adds to a task's time, about, in seconds.
 const FETCH: f64 = 10.0;
 /// How often the machine types and prices are read again.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -37,6 +37,8 @@
     pub promised: BTreeSet<String>,
     /// Work that found no machine in the last round.
     pub unplaced: Vec<Unplaced>,
+    /// Since when jobs have been below their volume for want of a machine.
+    pub starved: BTreeMap<String, Micros>,
     /// Allotments of controllers that have left, until their tasks are accounted for.
     pub cleaned: Micros,
 }
@@ -270,9 +272,17 @@
         let leader = self.leader.as_ref().map_or(0, |l| l.2);
         let round = self.lead.as_ref().map_or(0, |l| l.round);
         let kept = self.choose_kept();
-        let message = PeerMessage::Volumes { leader, round, volumes: volumes.clone(), kept: kept.clone() };
+        let surplus = self.find_surplus(&volumes);
+        let message = PeerMessage::Volumes {
+            leader,
+            round,
+            volumes: volumes.clone(),
+            kept: kept.clone(),
+            surplus: surplus.clone(),
+        };
         self.effects.push(Effect::Send(None, message));
         self.take_volumes(volumes, kept);
+        self.stop_surplus(&surplus);
         if self.lead.as_ref().is_some_and(|l| l.granting) {
             return;
         }
@@ -380,6 +390,48 @@
         }
     }
 
+    /// Surplus tasks to stop: of arrays above their volume, for jobs of higher priority that have sat
+    /// below theirs for the set wait. Attrition serves all others.
+    fn find_surplus(&mut self, volumes: &[(String, u32)]) -> Vec<(String, u32)> {
+        let now = self.now;
+        let wait = Micros::from_secs_f64(self.tuning.surplus_wait_s);
+        let Some(lead) = &mut self.lead else { return Vec::new() };
+        let waiting: BTreeMap<String, u64> = lead.unplaced.iter().map(|u| (u.job.clone(), u.count)).collect();
+        lead.starved.retain(|job, _| waiting.contains_key(job));
+        for job in waiting.keys() {
+            lead.starved.entry(job.clone()).or_insert(now);
+        }
+        let due: Vec<String> =
+            lead.starved.iter().filter(|(_, at)| now.since(**at) >= wait).map(|(j, _)| j.clone()).collect();
+        for id in &due {
+            lead.starved.insert(id.clone(), now);
+        }
+        let mut surplus: BTreeMap<String, u32> = BTreeMap::new();
+        for id in due {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let mut lacking = job.spec.need().cpu.max(1) * waiting.get(&id).copied().unwrap_or(0);
+            for (other, volume) in volumes {
+                let Some(j) = self.jobs.get(other) else { continue };
+                let same_pool = (j.spec.gpus > 0.0) == (job.spec.gpus > 0.0);
+                let lower = j.spec.priority < job.spec.priority && j.spec.floor() == 1;
+                if !same_pool || !lower || lacking == 0 {
+                    continue;
+                }
+                let over = j
+                    .placed()
+                    .saturating_sub(*volume)
+                    .saturating_sub(surplus.get(other).copied().unwrap_or(0));
+                let each = j.spec.need().cpu.max(1);
+                let n = over.min(lacking.div_ceil(each) as u32);
+                lacking = lacking.saturating_sub(u64::from(n) * each);
+                if n > 0 {
+                    *surplus.entry(other.clone()).or_default() += n;
+                }
+            }
+        }
+        surplus.into_iter().collect()
+    }
+
     /// Machines on which room is kept for classes that must start sooner than a machine boots: those
     /// that fetch images fastest, whose room is free or will be as less urgent tasks end.
     fn choose_kept(&self) -> Vec<(String, String)> {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -1,6 +1,6 @@
 //! Workers' reports: whose they are, what they prove, and the orders that answer them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::coordination::model::{Machine, Pending, TaskOn};
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
@@ -124,6 +124,9 @@
         images.iter().for_each(|i| machine.remember_image(i));
         let noticed = report.notice_s.is_some();
         let news = changed || noticed != machine.notice || !was_ready;
+        if report.session != machine.session || machine.session_at.is_none() {
+            machine.session_at = Some(now);
+        }
         machine.session = report.session;
         machine.tally = report.tally;
         if !report.addr.is_empty() {
@@ -213,6 +216,7 @@
             .map(|m| m.tasks.iter().filter(|(_, t)| t.stop.is_some()).map(|(id, _)| id.clone()).collect())
             .unwrap_or_default();
         self.drop_planned(name, |id| unwanted.contains(id));
+        self.drop_disowned(name);
         let live: BTreeMap<String, bool> = self
             .machines
             .get(name)
@@ -287,6 +291,22 @@
         }
     }
 
+    /// Takes back planned starts of jobs that are over or have another owner by now.
+    fn drop_disowned(&mut self, name: &str) {
+        let planned = |m: &Machine| m.tasks.values().any(|t| t.pending == Some(Pending::Planned));
+        if !self.machines.get(name).is_some_and(planned) {
+            return;
+        }
+        let me = self.settings.member.as_str();
+        let ours: BTreeSet<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.owner.as_deref() == Some(me))
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.drop_planned(name, |id| !ours.contains(&id.job));
+    }
+
     /// Sends what is planned straight to the workers, rather than with the answers to their next
     /// reports, and asks machines that have just been granted how they stand.
     pub(super) fn speak(&mut self) {
@@ -304,7 +324,7 @@
             let (session, token) = (m.session, m.row.token);
             let mut orders = Vec::new();
             if m.resolved {
-                if m.heard.is_none_or(|at| now.since(at) > recent) {
+                if m.session_at.is_none() || m.heard.is_none_or(|at| now.since(at) > recent) {
                     continue;
                 }
                 for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
@@ -349,6 +369,7 @@
                     t.pending = Some(Pending::Planned);
                 }
                 m.talk_after = now + Micros::from_secs(1);
+                self.drop_disowned(name);
             }
             DirectReply::Unclear => {
                 m.talk_after = now + Micros::from_secs(3);
@@ -453,12 +474,12 @@
             let Some(machine) = self.machines.get_mut(&name) else { continue };
             machine.former_gone = former;
             let Some(former) = former else { continue };
-            // Under a resolved grant nobody else's answer counts.
-            let last = if machine.resolved {
-                machine.answered.unwrap_or(former)
-            } else {
-                machine.answered.unwrap_or(former).max(former)
-            };
+            // Under a resolved grant nobody else's answer counts. A session lasts a lease from its
+            // beginning even if no report of it is ever answered.
+            let mut last = machine.answered.unwrap_or(former).max(machine.session_at.unwrap_or_default());
+            if !machine.resolved {
+                last = last.max(former);
+            }
             if self.now.since(last) > silence {
                 lapsed.push(name);
             }
@@ -476,6 +497,7 @@
                 // Whatever the ended session still has to say comes too late.
                 if machine.heard.is_some() {
                     machine.session += 1;
+                    machine.session_at = None;
                     machine.tally = 0;
                 }
             }
@@ -489,7 +511,10 @@
     /// No other controller can answer a machine under a grant older than this revision: all that
     /// are registered have said that they have seen it, and the others' leases have ended.
     fn nobody_else_answers(&self, stamp: u64) -> bool {
+        // One that was evicted may not know: its lease, renewed just before, runs on.
+        let term = self.lease_term + self.lease_term.mul_f64(DRIFT) + SLACK;
         self.phase == Phase::Active
+            && self.evicted.values().all(|at| self.now.since(*at) > term)
             && self.nodes.iter().filter(|(member, _)| *member != self.me()).all(|(member, node)| {
                 self.peers
                     .get(member)
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -34,6 +34,7 @@
                 self.store(Urgency::Entitlement, Purpose::Follow, call);
             }
             self.seek_leadership();
+            self.evict_suspects();
         }
     }
 
@@ -74,6 +75,73 @@
         self.store(Urgency::Entitlement, Purpose::Lead, StoreCall::Commit(transaction));
     }
 
+    pub(super) fn refused_by(&mut self, member: String) {
+        let now = self.now;
+        let (_, times) = self.refusals.entry(member).or_insert((now, 0));
+        *times += 1;
+    }
+
+    /// Registered controllers that refuse connections and have said nothing for a while.
+    pub(super) fn suspects(&self) -> Vec<String> {
+        let quiet = Micros::from_millis(1_200);
+        let silent = |m: &String| self.peers.get(m).is_none_or(|p| self.now.since(p.heard) > quiet);
+        let refused = self
+            .refusals
+            .iter()
+            .filter(|(_, (at, n))| *n >= 3 && self.now.since(*at) > Micros::from_millis(700));
+        refused.map(|(m, _)| m.clone()).filter(|m| self.nodes.contains_key(m) && silent(m)).collect()
+    }
+
+    /// Ends the registration of a controller that, as far as all others can tell, has ended.
+    ///
+    /// A refusal proves nothing, and nothing here relies on it: the evicted one's transactions fail,
+    /// its machines are fenced by new tokens, and unreachable ones wait out its lease. Not twice in
+    /// half a minute, so that a mistake does not repeat itself.
+    fn evict_suspects(&mut self) {
+        let suspects = self.suspects();
+        if suspects.is_empty() || !self.entitled() || self.now < self.evict_at {
+            return;
+        }
+        let me = self.settings.member.clone();
+        let others = || self.nodes.keys().filter(|m| !suspects.contains(*m));
+        let agreed = |member: &String| {
+            others().filter(|m| **m != me).all(|m| {
+                let peer = self.peers.get(m).filter(|p| self.now.since(p.heard) < Micros::from_secs(3));
+                peer.and_then(|p| p.status.as_ref()).is_some_and(|s| s.unheard.contains(member))
+            })
+        };
+        let pause = Micros::from_secs(30);
+        let fresh = |m: &String| self.evicted.get(m).is_none_or(|at| self.now.since(*at) > pause);
+        let Some((leader, _, leader_stamp)) = self.leader.clone() else { return };
+        // The leader evicts; if it is the one to go, the first of the others does and takes over.
+        let takes_over = suspects.contains(&leader);
+        if if takes_over { others().next() != Some(&me) } else { leader != me } {
+            return;
+        }
+        let first = if takes_over { Some(&leader) } else { suspects.iter().find(|m| fresh(m) && agreed(m)) };
+        let Some(member) = first.filter(|m| fresh(m) && agreed(m)).cloned() else { return };
+        let (Some(node), Some(lease)) = (self.nodes.get(&member), &self.lease) else { return };
+        let mut transaction = Transaction {
+            conditions: vec![
+                Condition::new(records::LEADER, leader_stamp),
+                Condition::new(records::node(&member), *node),
+                self.entitlement(),
+            ],
+            writes: vec![
+                Write::delete(records::node(&member)),
+                Write::put(records::evicted(&member), (*node).into()),
+            ],
+        };
+        if takes_over {
+            let record = LeaderRecord { member: me, node: lease.stamp };
+            let Ok(value) = serde_json::to_value(record) else { return };
+            transaction.writes.push(Write::leased(records::LEADER, value, lease.id));
+        }
+        tracing::warn!(member, "refuses everyone: evicted");
+        self.evict_at = self.now + Micros::from_millis(800);
+        self.store(Urgency::Entitlement, Purpose::Evict, StoreCall::Commit(transaction));
+    }
+
     /// The condition that every transaction of this controller carries.
     pub(super) fn entitlement(&self) -> Condition {
         // No registration has this stamp, so without one every transaction fails.
@@ -145,7 +213,7 @@
                     lease.renewed = self.now.since(Micros(self.lease_term.0 / 6)) + RETRY;
                 }
             }
-            (Purpose::Lead, _) => {}
+            (Purpose::Lead | Purpose::Evict, _) => {}
             (Purpose::Load, _) if self.phase != Phase::Loading => {}
             (_, reply) => {
                 tracing::debug!(?reply, "joining put off");
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -50,6 +50,8 @@
     Store(CallId, StoreReply),
     Cloud(CallId, CloudReply),
     Peer(String, PeerMessage),
+    /// A controller refused a connection.
+    Refused(String),
     Report(RequestId, Report),
     /// A worker's reply to direct orders under a token.
     Worker {
@@ -108,6 +110,7 @@
     Follow,
     Renew,
     Lead,
+    Evict,
     Grant,
     Accept {
         request: RequestId,
@@ -251,6 +254,11 @@
     pub(crate) quick: BTreeMap<String, JobSpec>,
     /// Machines with room kept for such a class.
     pub(crate) kept: BTreeMap<String, String>,
+    /// Controllers that refuse connections: since when, and how often.
+    pub(crate) refusals: BTreeMap<String, (Micros, u32)>,
+    /// When controllers were last evicted.
+    pub(crate) evicted: BTreeMap<String, Micros>,
+    pub(crate) evict_at: Micros,
     pub(crate) unresolved: BTreeSet<String>,
     pub(crate) finals: FinalCache,
     pub(crate) lead: Option<leader::Leading>,
@@ -308,6 +316,9 @@
             types: BTreeMap::new(),
             types_at: None,
             peers: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+            evicted: BTreeMap::new(),
+            evict_at: Micros::ZERO,
             quick: BTreeMap::new(),
             kept: BTreeMap::new(),
             unresolved: BTreeSet::new(),
@@ -347,6 +358,7 @@
                 }
             }
             Event::Peer(from, message) => self.peer_said(from, message),
+            Event::Refused(member) => self.refused_by(member),
             Event::Report(request, report) => self.reported(request, report),
             Event::Worker { machine, token, reply } => self.worker_replied(&machine, token, reply),
             Event::Submit(request, spec) => self.submitted(request, spec),
@@ -423,6 +435,7 @@
             | Purpose::Register { .. }
             | Purpose::Load
             | Purpose::Renew
+            | Purpose::Evict
             | Purpose::Lead => self.membership_replied(purpose, sent, reply),
             Purpose::Follow => self.followed(reply),
             Purpose::Grant | Purpose::Quota => self.granted(reply),
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -158,6 +158,9 @@
     pub supply: Resources,
     pub session: u64,
     pub tally: u64,
+    /// When the present session was first heard of: it began no later. A session that a controller
+    /// expects to follow a lapsed one has not been heard of.
+    pub session_at: Option<Micros>,
     /// The last report's; `tally` also counts replies to direct orders.
     pub reported: u64,
     pub addr: String,
@@ -196,6 +199,7 @@
             supply,
             session: 0,
             tally: 0,
+            session_at: None,
             reported: 0,
             addr: String::new(),
             talking: false,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -468,6 +468,32 @@
         self.place_due = true;
     }
 
+    /// Stops the latest started tasks of own jobs that the leader finds above their volume.
+    pub(super) fn stop_surplus(&mut self, surplus: &[(String, u32)]) {
+        for (id, count) in surplus {
+            let Some(job) = self.jobs.get(id).filter(|j| self.places(j)) else { continue };
+            let grace = job.spec.save() + Micros::from_secs(1);
+            let mut tasks: Vec<(Micros, String, TaskId)> = Vec::new();
+            for (index, places) in &job.on {
+                let task = TaskId::new(id, *index);
+                for name in places {
+                    if let Some(t) = self.machines.get(name).and_then(|m| m.tasks.get(&task))
+                        && !t.ended()
+                        && t.stop.is_none()
+                    {
+                        tasks.push((t.since, name.clone(), task.clone()));
+                    }
+                }
+            }
+            tasks.sort();
+            for (_, name, task) in tasks.into_iter().rev().take(*count as usize) {
+                if let Some(t) = self.machines.get_mut(&name).and_then(|m| m.tasks.get_mut(&task)) {
+                    t.stop = Some(grace);
+                }
+            }
+        }
+    }
+
     /// A task has completed, as its machine's owner has it from the worker.
     ///
     /// Only the job's owner notes it: it alone records it, and a leader that knew better than the
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -49,11 +49,17 @@
         self.placing = false;
         self.taking_over = false;
         self.retired.clear();
+        self.refusals.clear();
+        self.evicted.clear();
     }
 
     /// A job is over. Its tasks count against its team's limit until they are seen gone.
     pub(super) fn retire(&mut self, id: &str) -> Option<Job> {
         let job = self.jobs.remove(id)?;
+        // What has not been sent must not be: the job's user may have been told that it is over.
+        for name in job.on.values().flatten() {
+            self.drop_planned(name, |t| t.job == id);
+        }
         if !job.on.is_empty() {
             self.retired.insert(id.to_owned(), (job.spec.team.clone(), job.spec.need()));
         }
@@ -124,6 +130,9 @@
         } else if let Some(member) = key.strip_prefix(records::NODE) {
             self.nodes.insert(member.to_owned(), stamp);
             self.soon_round();
+        } else if let Some(member) = key.strip_prefix(records::EVICTED) {
+            // It may not know yet, and may go on answering until its lease runs out.
+            self.evicted.insert(member.to_owned(), self.now);
         } else if let Some(shard) = key.strip_prefix(records::BLOCKS) {
             if let (Ok(shard), Ok(rows)) = (shard.parse(), serde_json::from_value(value)) {
                 self.blocks_changed(shard, rows, stamp);
@@ -368,6 +377,7 @@
             usage: self.usage(),
             machines: machines.collect(),
             stops: self.foreign_stops(),
+            unheard: self.suspects(),
         }
     }
 
@@ -377,9 +387,10 @@
         }
         match message {
             PeerMessage::Status(status) => self.peer_status(from, status),
-            PeerMessage::Volumes { leader, volumes, kept, .. } => {
+            PeerMessage::Volumes { leader, volumes, kept, surplus, .. } => {
                 if self.leader.as_ref().is_some_and(|l| l.0 == from && l.2 == leader) {
                     self.take_volumes(volumes, kept);
+                    self.stop_surplus(&surplus);
                 }
             }
             PeerMessage::Heard { machine } => self.heard_elsewhere(machine, from),
@@ -399,6 +410,7 @@
         for told in std::mem::take(&mut status.machines) {
             self.machine_told(&from, status.applied, status.stamp, told);
         }
+        self.refusals.remove(&from);
         self.peers.insert(from, super::Peer { heard: self.now, status: Some(status) });
         self.check_adoption();
         self.place_due = true;
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -438,6 +438,19 @@
         }
     }
 
+    /// A controller that has ended refuses connections; now and then a packet filter does so too.
+    fn refusals(&mut self, node: usize) {
+        for other in (0..3).filter(|o| *o != node) {
+            let cut = self.apart.is_some_and(|(a, b, until)| {
+                self.now < until && ((a, b) == (node, other) || (b, a) == (node, other))
+            });
+            if cut || self.controllers[other].is_none() {
+                let member = self.settings[other].member.clone();
+                self.tell(node, Event::Refused(member));
+            }
+        }
+    }
+
     fn answered(&mut self, node: usize, life: u64, request: RequestId, answer: Answer) {
         match self.requests.remove(&(node, life, request)) {
             Some(Asked::Report { machine, session, tally }) => {
@@ -480,6 +493,9 @@
                         self.make_trouble(0.1);
                     }
                     self.tell(n, Event::Tick);
+                    if self.sequence.is_multiple_of(4) {
+                        self.refusals(n);
+                    }
                     self.at(self.now + Micros::from_millis(100), Happening::Tick(n));
                 }
             }
@@ -1204,7 +1220,10 @@
 
 #[test]
 fn a_controller_refused_by_the_store_alone_falls_silent_in_time() {
-    play_all(300..308, Trouble { store_refuses_one: 0.03, machine_cut: 0.05, ..Default::default() });
+    let trouble = Trouble { store_refuses_one: 0.03, machine_cut: 0.05, ..Default::default() };
+    play_all(300..308, trouble);
+    // A start that was planned for a withdrawn job, sent minutes later.
+    play(32_053, trouble);
 }
 
 #[test]
@@ -1219,6 +1238,8 @@
         ..Default::default()
     };
     play_all(400..408, trouble);
+    // A session that began unheard was taken for one that had lapsed.
+    play(42_017, trouble);
 }
 
 #[test]
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -57,6 +57,8 @@
     pub usage: Vec<(String, u64, u64)>,
     pub machines: Vec<MachineStatus>,
     pub stops: Vec<StopRequest>,
+    /// Controllers that refuse the sender's connections and have fallen silent.
+    pub unheard: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -70,6 +72,8 @@
         /// Room on some machines is kept for jobs of a class that must start sooner than any machine
         /// boots: machine and class.
         kept: Vec<(String, String)>,
+        /// Tasks to stop of jobs above their volume, for one that has waited below its own.
+        surplus: Vec<(String, u32)>,
     },
     /// A machine reports to the sender, whose it is not: perhaps it cannot reach its owner.
     Heard {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -129,7 +129,7 @@
         Tuning {
             round_s: 2.0,
             surplus_wait_s: 20.0,
-            idle_return_s: 15.0,
+            idle_return_s: 6.0,
             block_lease_s: 0.0,
             final_cache: 20_000,
         }
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -9,8 +9,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::runtime::Input;
+use crate::coordination::Event;
 use crate::protocol::peer::PeerMessage;
-use crate::settings::Settings;
+use crate::settings::{Member, Settings};
 
 const LARGEST: u32 = 4 << 20;
 
@@ -21,14 +22,15 @@
 }
 
 impl Links {
-    pub fn start(settings: &Settings, stop: &CancellationToken) -> Links {
+    pub fn start(settings: &Settings, inputs: &mpsc::Sender<Input>, stop: &CancellationToken) -> Links {
         let mut out = HashMap::new();
         for member in &settings.members {
             let (tx, rx) = mpsc::channel(16);
             out.insert(member.member.clone(), tx);
-            let (me, addr, stop) = (settings.member.clone(), member.addr.clone(), stop.clone());
+            let (me, to, stop) = (settings.member.clone(), member.clone(), stop.clone());
+            let inputs = inputs.clone();
             tokio::spawn(async move {
-                stop.run_until_cancelled(dial(me, addr, rx)).await;
+                stop.run_until_cancelled(dial(me, to, rx, inputs)).await;
             });
         }
         Links { out }
@@ -48,20 +50,20 @@
     }
 }
 
-async fn dial(me: String, addr: String, mut messages: mpsc::Receiver<bytes::Bytes>) {
+async fn dial(
+    me: String,
+    to: Member,
+    mut messages: mpsc::Receiver<bytes::Bytes>,
+    inputs: mpsc::Sender<Input>,
+) {
     loop {
-        let connected = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(&addr)).await;
-        if let Ok(Ok(mut stream)) = connected {
-            let _ = stream.set_nodelay(true);
-            // What waited while there was no link is out of date.
-            while messages.try_recv().is_ok() {}
-            if write(&mut stream, me.as_bytes()).await {
-                while let Some(frame) = messages.recv().await {
-                    if !write(&mut stream, &frame).await {
-                        break;
-                    }
-                }
+        let connected = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(&to.addr)).await;
+        match connected {
+            Ok(Ok(stream)) => converse(&me, stream, &mut messages).await,
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+                let _ = inputs.send(Input::Reply(Event::Refused(to.member.clone()))).await;
             }
+            _ => {}
         }
         if messages.is_closed() {
             return;
@@ -70,6 +72,18 @@
     }
 }
 
+/// Sends messages until the link breaks or there will be no more.
+async fn converse(me: &str, mut stream: TcpStream, messages: &mut mpsc::Receiver<bytes::Bytes>) {
+    let _ = stream.set_nodelay(true);
+    // What waited while there was no link is out of date.
+    while messages.try_recv().is_ok() {}
+    let mut open = write(&mut stream, me.as_bytes()).await;
+    while open {
+        let Some(frame) = messages.recv().await else { return };
+        open = write(&mut stream, &frame).await;
+    }
+}
+
 async fn write(stream: &mut TcpStream, frame: &[u8]) -> bool {
     let mut bytes = Vec::with_capacity(frame.len() + 4);
     bytes.extend_from_slice(&(frame.len() as u32).to_be_bytes());
