--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -17,6 +17,8 @@
 const WORTH: f64 = 90.0;
 /// What fetching an image adds to a task's time, about, in seconds.
 const FETCH: f64 = 10.0;
+/// How many times longer an idle machine is kept where teams have guarantees.
+const GUARANTEED_PATIENCE: f64 = 20.0;
 /// How often the machine types and prices are read again.
 const TYPES_EVERY: Micros = Micros::from_secs(60);
 
@@ -167,7 +169,9 @@
     }
 
     fn drop_unwanted(&mut self) {
-        let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s);
+        // Where teams are guaranteed capacity, work that waits for a boot costs more than idling.
+        let patience = if self.guaranteed() == (0, 0) { 1.0 } else { GUARANTEED_PATIENCE };
+        let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s * patience);
         let mut idle_names = Vec::new();
         let mut names = Vec::new();
         let Some(lead) = &self.lead else { return };
