--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -322,7 +322,7 @@
                 &mut wanted,
             );
         }
-        self.want_guarantee(&coming, &mut wanted);
+        self.want_guarantee(&mut wanted);
         let mut asked = false;
         for ((kind, zone, spot), machines) in wanted {
             let count = (machines.ceil() as u64).clamp(1, MOST_RENTED) as u32;
@@ -435,11 +435,7 @@
     }
 
     /// Machines that the teams' guarantees need: capacity that must be there before work comes.
-    fn want_guarantee(
-        &self,
-        coming: &[(String, String, bool, Resources)],
-        wanted: &mut BTreeMap<(String, String, bool), f64>,
-    ) {
+    fn want_guarantee(&self, wanted: &mut BTreeMap<(String, String, bool), f64>) {
         let (cpu, gpu) = self.guaranteed();
         let mut has = self.standing_supply();
         let open = self.lead.iter().flat_map(|l| l.fleet.open.values()).filter(|r| !r.spot);
@@ -450,7 +446,6 @@
                 }
             }
         }
-        let _ = coming;
         for accelerated in [false, true] {
             let (goal, there) = if accelerated { (gpu, has.gpu) } else { (cpu, has.cpu) };
             if there >= goal {
@@ -606,7 +601,6 @@
 
     /// The list lags, so it proves only what it shows: machines to record, and failures.
     fn listed(&mut self, list: MachineList) {
-        let now = self.now;
         let lag = Micros::from_secs_f64(self.settings.params.cloud.list_lag_s * 2.0 + 5.0);
         let last = list.machines.last().map(|m| m.id.clone());
         let Some(lead) = &mut self.lead else { return };
@@ -636,6 +630,5 @@
             }
             _ => lead.fleet.listing = false,
         }
-        let _ = now;
     }
 }
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -91,7 +91,7 @@
             StoreReply::Conflict { failed } => {
                 let me = records::node(self.me());
                 if failed.contains(&records::finished(&spec.id)) {
-                    self.look_final(request, spec.id, false);
+                    self.look_final(request, spec.id);
                 } else if failed.contains(&records::live(&spec.id)) {
                     let answer = self.live_answer(&spec.id);
                     self.answer(request, answer);
@@ -130,9 +130,9 @@
         self.store(urgency, Purpose::LookLive { request, job, withdraw }, StoreCall::Get { key });
     }
 
-    fn look_final(&mut self, request: RequestId, job: String, created: bool) {
+    fn look_final(&mut self, request: RequestId, job: String) {
         let key = records::finished(&job);
-        self.store(Urgency::Acceptance, Purpose::LookFinal { request, job, created }, StoreCall::Get { key });
+        self.store(Urgency::Acceptance, Purpose::LookFinal { request, job }, StoreCall::Get { key });
     }
 
     pub(super) fn looked_live(&mut self, request: RequestId, job: String, withdraw: bool, reply: StoreReply) {
@@ -162,18 +162,12 @@
                 self.store(Urgency::Withdrawal, purpose, StoreCall::Commit(transaction));
             }
             // Not live at that moment: then it is over, or was never accepted.
-            StoreReply::Missing => self.look_final(request, job, false),
+            StoreReply::Missing => self.look_final(request, job),
             _ => self.answer(request, Answer::Later(1)),
         }
     }
 
-    pub(super) fn looked_final(
-        &mut self,
-        request: RequestId,
-        job: String,
-        _created: bool,
-        reply: StoreReply,
-    ) {
+    pub(super) fn looked_final(&mut self, request: RequestId, job: String, reply: StoreReply) {
         match reply {
             StoreReply::Found { value, .. } => match serde_json::from_value::<FinalRecord>(value) {
                 Ok(record) => {
@@ -202,7 +196,7 @@
                 self.follow_at = self.follow_at.map(|_| self.now);
                 self.answer(request, final_answer(&job, Final::Withdrawn, tasks));
             }
-            StoreReply::Conflict { .. } => self.look_final(request, job, false),
+            StoreReply::Conflict { .. } => self.look_final(request, job),
             _ => self.answer(request, Answer::Later(1)),
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -125,7 +125,6 @@
     LookFinal {
         request: RequestId,
         job: String,
-        created: bool,
     },
     Withdraw {
         request: RequestId,
@@ -441,7 +440,7 @@
             Purpose::Grant | Purpose::Quota => self.granted(reply),
             Purpose::Accept { request, spec } => self.accept_replied(request, *spec, reply),
             Purpose::LookLive { request, job, withdraw } => self.looked_live(request, job, withdraw, reply),
-            Purpose::LookFinal { request, job, created } => self.looked_final(request, job, created, reply),
+            Purpose::LookFinal { request, job } => self.looked_final(request, job, reply),
             Purpose::Withdraw { request, job, tasks } => self.withdraw_replied(request, job, tasks, reply),
             Purpose::Complete { job } => self.complete_replied(job, reply),
             Purpose::Progress { job, chunk } => self.progress_replied(job, chunk, reply),
