--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -19,6 +19,8 @@
 const FETCH: f64 = 10.0;
 /// How many times longer an idle machine is kept where teams have guarantees.
 const GUARANTEED_PATIENCE: f64 = 20.0;
+/// How long there must be no live job before guaranteed capacity is given back too.
+const QUIET: Micros = Micros::from_secs(20);
 /// How often the machine types and prices are read again.
 const TYPES_EVERY: Micros = Micros::from_secs(60);
 
@@ -39,6 +41,8 @@
     pub returned: BTreeMap<String, Micros>,
     pub failed: BTreeSet<String>,
     pub rented_at: Micros,
+    /// Since when there has been no live job.
+    pub quiet_since: Option<Micros>,
 }
 
 impl Controller {
@@ -101,7 +105,9 @@
 
     pub(super) fn fleet_tick(&mut self) {
         let now = self.now;
+        let quiet = self.jobs.is_empty();
         let Some(lead) = &mut self.lead else { return };
+        lead.fleet.quiet_since = quiet.then(|| lead.fleet.quiet_since.unwrap_or(now));
         lead.strays.retain(|_, (_, at)| now.since(*at) < Micros::from_secs(10));
         lead.fleet.returned.retain(|_, at| now.since(*at) < Micros::from_secs(120));
         let machines = &self.machines;
@@ -170,7 +176,8 @@
 
     fn drop_unwanted(&mut self) {
         // Where teams are guaranteed capacity, work that waits for a boot costs more than idling.
-        let patience = if self.guaranteed() == (0, 0) { 1.0 } else { GUARANTEED_PATIENCE };
+        let patience =
+            if self.guaranteed() == (0, 0) || self.nothing_to_do() { 1.0 } else { GUARANTEED_PATIENCE };
         let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s * patience);
         let mut idle_names = Vec::new();
         let mut names = Vec::new();
@@ -221,6 +228,9 @@
 
     /// Of idle machines, those that neither a guarantee nor a class that must start at once needs.
     fn not_needed(&self, idle: Vec<String>) -> Vec<String> {
+        if self.nothing_to_do() {
+            return idle;
+        }
         let (cpu, gpu) = self.guaranteed();
         let mut has = self.standing_supply();
         let mut names = Vec::new();
@@ -244,6 +254,12 @@
         names
     }
 
+    /// No job has been live for a while: then nothing is kept warm, guarantee or not.
+    fn nothing_to_do(&self) -> bool {
+        let quiet = self.lead.as_ref().and_then(|l| l.fleet.quiet_since);
+        quiet.is_some_and(|at| self.now.since(at) > QUIET)
+    }
+
     /// What all teams together are guaranteed.
     fn guaranteed(&self) -> (u64, u64) {
         let teams = &self.settings.params.teams;
@@ -322,7 +338,9 @@
                 &mut wanted,
             );
         }
-        self.want_guarantee(&mut wanted);
+        if !self.jobs.is_empty() {
+            self.want_guarantee(&mut wanted);
+        }
         let mut asked = false;
         for ((kind, zone, spot), machines) in wanted {
             let count = (machines.ceil() as u64).clamp(1, MOST_RENTED) as u32;
