--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -169,14 +169,8 @@
             if !spec.need().fits(room_left) {
                 break;
             }
-            let Some(name) = self.best_machine(&spec, rooms, &zones) else { break };
-            if let Some(room) = rooms.get_mut(&name) {
-                *room = room.minus(spec.need());
-            }
+            let Some(name) = self.take_room(&spec, rooms, &mut zones) else { break };
             room_left = room_left.minus(spec.need());
-            if let Some(m) = self.machines.get(&name) {
-                *zones.entry(m.row.zone.clone()).or_default() += 1;
-            }
             starts.push((index, name));
             short -= 1;
             index += 1;
@@ -227,13 +221,7 @@
             let mut counts = BTreeMap::new();
             let mut chosen = Vec::new();
             for _ in 0..spec.tasks {
-                let Some(name) = self.best_machine(&spec, &left, &counts) else { break };
-                if let Some(room) = left.get_mut(&name) {
-                    *room = room.minus(spec.need());
-                }
-                if let Some(m) = self.machines.get(&name) {
-                    *counts.entry(m.row.zone.clone()).or_default() += 1;
-                }
+                let Some(name) = self.take_room(&spec, &mut left, &mut counts) else { break };
                 chosen.push(name);
             }
             if chosen.len() == spec.tasks as usize && best.is_none() {
@@ -271,14 +259,8 @@
             if !spec.need().fits(room_left) {
                 break;
             }
-            let Some(name) = self.best_machine(spec, rooms, &zones) else { break };
-            if let Some(room) = rooms.get_mut(&name) {
-                *room = room.minus(spec.need());
-            }
+            let Some(name) = self.take_room(spec, rooms, &mut zones) else { break };
             room_left = room_left.minus(spec.need());
-            if let Some(m) = self.machines.get(&name) {
-                *zones.entry(m.row.zone.clone()).or_default() += 1;
-            }
             self.plan(id, index, attempt, &name);
             planned += 1;
         }
@@ -357,6 +339,23 @@
         counts
     }
 
+    /// Picks the best machine for one task, and takes its room and its zone into account.
+    fn take_room(
+        &self,
+        spec: &JobSpec,
+        rooms: &mut BTreeMap<String, Resources>,
+        zones: &mut BTreeMap<String, u32>,
+    ) -> Option<String> {
+        let name = self.best_machine(spec, rooms, zones)?;
+        if let Some(room) = rooms.get_mut(&name) {
+            *room = room.minus(spec.need());
+        }
+        if let Some(m) = self.machines.get(&name) {
+            *zones.entry(m.row.zone.clone()).or_default() += 1;
+        }
+        Some(name)
+    }
+
     fn best_machine(
         &self,
         spec: &JobSpec,
