Give each block row the room it may grow to, so that a large fleet is granted

Cause: a row grows by a third when its machine is granted, and values were filled to nine tenths with rows of machines that nobody held. With 114 machines recorded in one value, every later grant was over 8 KiB, refused as malformed, and tried for ever.

A grant also keeps below the store's 64 KiB, and what does not fit goes with a later one: machines of controllers that have left are granted in any round, not only with the view.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -19,6 +19,9 @@
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
+/// The most that the blocks of one grant may take of a transaction's 64 KiB.
+const MOST_BYTES: usize = 60 << 10;
+
 /// What only the leader keeps. A new leader starts with nothing but the records.
 #[derive(Debug, Default)]
 pub(crate) struct Leading {
@@ -126,11 +129,18 @@
     /// Names the registered controllers as members and grants them the machines of those that left.
     fn renew_view(&mut self) {
         let members: Vec<(String, u64)> = self.nodes.iter().map(|(m, s)| (m.clone(), *s)).collect();
-        let mut counts: BTreeMap<String, usize> = members.iter().map(|m| (m.0.clone(), 0)).collect();
+        let mut moves = BTreeMap::new();
+        self.regrant(&mut moves);
+        self.grant(moves, Vec::new(), BTreeSet::new(), Some(ViewRecord { members }));
+    }
+
+    /// Machines of controllers that have left go to those that are there. A grant may not have room
+    /// for all of them, so that some are still to be granted after the view has changed.
+    fn regrant(&self, moves: &mut BTreeMap<String, String>) {
+        let mut counts: BTreeMap<String, usize> = self.nodes.keys().map(|m| (m.clone(), 0)).collect();
         for machine in self.machines.values().filter(|m| self.holds(m)) {
             *counts.entry(machine.row.owner.clone()).or_default() += 1;
         }
-        let mut moves = BTreeMap::new();
         for (name, machine) in self.machines.iter().filter(|(_, m)| !m.unused() && !self.holds(m)) {
             // A controller that is back gets its own machines: its workers know it.
             let back = counts.contains_key(&machine.row.owner).then(|| machine.row.owner.clone());
@@ -140,7 +150,6 @@
                 moves.insert(name.clone(), to);
             }
         }
-        self.grant(moves, Vec::new(), BTreeSet::new(), Some(ViewRecord { members }));
     }
 
     /// Writes moves, new machines and removals, all or none, under fresh tokens.
@@ -152,7 +161,7 @@
         view: Option<ViewRecord>,
     ) -> bool {
         let most = self.settings.params.state.txn_ops;
-        let value_limit = (self.settings.params.state.value_kb * 1024.0) as usize * 9 / 10;
+        let value_limit = ((self.settings.params.state.value_kb * 1024.0) as usize - 64).min(MOST_BYTES);
         let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
         if self.lead.as_ref().is_none_or(|l| l.granting) {
             return false;
@@ -163,18 +172,25 @@
             let rows = names.iter().filter_map(|name| self.machines.get(name)).map(|m| m.row.clone());
             shards.insert(*n, rows.collect());
         }
+        // A row grows when its machine is granted, and a value that has become too long could never be
+        // written again: each row is given the room that it may come to need.
+        let owner = self.settings.everyone().into_iter().max_by_key(String::len).unwrap_or_default();
+        let mut lengths: BTreeMap<usize, usize> =
+            shards.iter().map(|(n, rows)| (*n, rows.iter().map(|r| r.largest(&owner)).sum())).collect();
         let mut changed = BTreeSet::new();
+        let mut room = MOST_BYTES;
         let budget = most.saturating_sub(2);
         for (n, rows) in &mut shards {
-            if changed.len() >= budget {
-                break;
+            let touched = rows.iter().any(|r| removed.contains(&r.machine) || moves.contains_key(&r.machine));
+            // What does not fit goes with a later grant.
+            if !touched || changed.len() >= budget || lengths[n] > room {
+                continue;
             }
-            let before = rows.len();
+            room -= lengths[n];
+            changed.insert(*n);
             rows.retain(|r| !removed.contains(&r.machine));
-            let mut touched = rows.len() < before;
             for row in rows.iter_mut() {
                 if let Some(to) = moves.get(&row.machine) {
-                    touched = true;
                     if to.is_empty() {
                         row.returning = true;
                         continue;
@@ -185,9 +201,6 @@
                     row.node = self.nodes.get(to).copied().unwrap_or(0);
                 }
             }
-            if touched {
-                changed.insert(*n);
-            }
         }
         for mut row in added {
             if self.machines.contains_key(&row.machine) {
@@ -197,18 +210,22 @@
                 token += 1;
                 row.token = token;
             }
-            let text = serde_json::to_string(&row).map_or(200, |t| t.len()) + 1;
-            let full = |rows: &Vec<BlockRow>| {
-                serde_json::to_string(rows).map_or(usize::MAX, |t| t.len()) + text > value_limit
-            };
-            let open = shards
-                .iter()
-                .find(|(n, rows)| !full(rows) && (changed.contains(n) || changed.len() < budget));
+            let text = row.largest(&owner);
+            let open = lengths.iter().find(|(n, used)| {
+                let more = if changed.contains(*n) { text } else { **used + text };
+                **used + text <= value_limit
+                    && more <= room
+                    && (changed.contains(*n) || changed.len() < budget)
+            });
             let n =
                 open.map(|(n, _)| *n).unwrap_or_else(|| (0..).find(|n| !shards.contains_key(n)).unwrap_or(0));
-            if !changed.contains(&n) && changed.len() >= budget {
+            let used = lengths.entry(n).or_default();
+            let more = if changed.contains(&n) { text } else { *used + text };
+            if more > room || !changed.contains(&n) && changed.len() >= budget {
                 break;
             }
+            room -= more;
+            *used += text;
             changed.insert(n);
             shards.entry(n).or_default().push(row);
         }
@@ -573,6 +590,7 @@
         }
         self.spread_idle(&fresh, &mut moves, &held, &moved);
         self.rescue(&mut moves);
+        self.regrant(&mut moves);
         for (name, m) in self.machines.iter().filter(|(_, m)| m.renew && self.holds(m)) {
             moves.entry(name.clone()).or_insert_with(|| m.row.owner.clone());
         }
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use super::{Answer, CallId, Controller, Effect, Event, RequestId};
+use crate::bookkeeping::records::{self, BlockRow};
 use crate::protocol::cloud::{
     CloudCall, CloudReply, ListedMachine, ListedState, MachineList, MachineType, Rental,
 };
@@ -1273,3 +1274,25 @@
     };
     play_all(700..712, trouble);
 }
+
+/// Guards against the deadlock of a fleet that is large from the start: rows grew as their machines
+/// were granted, the value became too long, and no grant could ever be written again.
+#[test]
+fn a_fleet_that_fills_its_values_is_granted_all_the_same() {
+    let mut world = World::new(9, Trouble::default());
+    world.capacity = 320;
+    for _ in 0..320 {
+        world.add_machine("c16", "east", false);
+    }
+    let mut granted = BTreeSet::new();
+    for second in 1..40 {
+        world.run(Micros::from_secs(second));
+        let blocks = world.store.keys.iter().filter(|(key, _)| key.starts_with(records::BLOCKS));
+        for (_, (value, ..)) in blocks {
+            let rows: Vec<BlockRow> = serde_json::from_value(value.clone()).unwrap();
+            granted.extend(rows.into_iter().filter(|r| !r.owner.is_empty()).map(|r| r.machine));
+        }
+    }
+    // Idle ones are returned in the meantime, so they are counted as they are granted.
+    assert_eq!(granted.len(), 320, "machines that nobody was granted");
+}
