--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -19,6 +19,8 @@
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
+/// How often the leader says how the deployment stands.
+const DESCRIBE_EVERY: Micros = Micros::from_secs(10);
 /// The most that the blocks of one grant may take of a transaction's 64 KiB.
 const MOST_BYTES: usize = 60 << 10;
 
@@ -28,6 +30,7 @@
     pub since: Micros,
     pub round: u64,
     pub round_at: Micros,
+    pub described: Micros,
     /// A grant is on its way: the next one builds on what it leaves.
     pub granting: bool,
     pub moved: BTreeMap<String, Micros>,
@@ -284,8 +287,36 @@
             && self.dark(machine) < 10
     }
 
+    /// How the whole deployment stands, for the operators' log.
+    fn describe_round(&self, volumes: &[(String, u32)]) {
+        let Some(lead) = &self.lead else { return };
+        let count = |f: &dyn Fn(&Machine) -> bool| self.machines.values().filter(|m| f(m)).count();
+        let tasks = |f: &dyn Fn(&Job) -> u32| self.jobs.values().map(f).sum::<u32>();
+        tracing::info!(
+            jobs = self.jobs.len(),
+            admitted = volumes.len(),
+            unfinished = tasks(&Job::unfinished),
+            volume = volumes.iter().map(|v| v.1).sum::<u32>(),
+            placed = tasks(&Job::placed),
+            unplaced = lead.unplaced.iter().map(|u| u.count).sum::<u64>(),
+            serving = count(&|m| self.serving(m)),
+            idle = count(&|m| self.serving(m) && m.idle()),
+            coming = count(&|m| self.coming(m)),
+            strays = lead.strays.len(),
+            returning = count(&|m| m.row.returning),
+            grants = self.counters.grants,
+            "how it stands"
+        );
+    }
+
     fn round(&mut self) {
         let volumes = self.volumes();
+        if self.lead.as_ref().is_some_and(|l| self.now >= l.described + DESCRIBE_EVERY) {
+            self.describe_round(&volumes);
+            if let Some(lead) = &mut self.lead {
+                lead.described = self.now;
+            }
+        }
         let leader = self.leader.as_ref().map_or(0, |l| l.2);
         let round = self.lead.as_ref().map_or(0, |l| l.round);
         let kept = self.choose_kept();
