Place in one pass per 90 ms and lead in rounds 250 ms apart, not at every event

Cause: every report and every other controller's status called for a pass over all waiting jobs, and nearly every report for a round of the leader; each pass looked at every machine anew for every task. A profile showed most of the time there.

Now a pass fills one machine after the other in order of preference, which gives the same places; a job's placed tasks are counted as they change; retired jobs are looked for once, not once each; one machine of a sort stands for all where shares are worked out; a grant measures each row once.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -30,6 +30,7 @@
     pub since: Micros,
     pub round: u64,
     pub round_at: Micros,
+    pub round_done: Micros,
     pub described: Micros,
     /// A grant is on its way: the next one builds on what it leaves.
     pub granting: bool,
@@ -87,11 +88,13 @@
         }
     }
 
-    /// Calls for a round soon: something has changed.
+    /// Calls for a round soon: something has changed. On a large deployment something always has,
+    /// so rounds keep a distance.
     pub(super) fn soon_round(&mut self) {
         let now = self.now;
         if let Some(lead) = &mut self.lead {
-            lead.round_at = lead.round_at.min(now + Micros::from_millis(50));
+            let soon = (now + Micros::from_millis(50)).max(lead.round_done + SPACING);
+            lead.round_at = lead.round_at.min(soon);
         }
     }
 
@@ -115,6 +118,7 @@
         self.round();
         if let Some(lead) = &mut self.lead {
             lead.round += 1;
+            lead.round_done = now;
             // `soon_round` may bring this forward, but not below the spacing.
             lead.round_at = now + regular;
         }
@@ -355,12 +359,15 @@
 
     /// The volumes of all admitted jobs: per pool, and before that per team limit.
     pub(super) fn volumes(&self) -> Vec<(String, u32)> {
-        let machines: Vec<&Machine> =
-            self.machines.values().filter(|m| self.serving(m) || self.coming(m)).collect();
+        let machines = || self.machines.values().filter(|m| self.serving(m) || self.coming(m));
+        let total = machines().fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        // One of each sort stands for all: a job's share depends on what a machine is, not on which.
+        let sorts: BTreeMap<_, &Machine> =
+            machines().map(|m| ((&m.row.kind, &m.row.zone, m.row.spot, m.supply.cpu), m)).collect();
+        let sorts: Vec<&Machine> = sorts.into_values().collect();
         let mut volumes = Vec::new();
         for accelerated in [false, true] {
-            let supply: u64 =
-                machines.iter().map(|m| if accelerated { m.supply.gpu } else { m.supply.cpu }).sum();
+            let supply = if accelerated { total.gpu } else { total.cpu };
             let mut jobs: Vec<(&String, &Job)> = self
                 .jobs
                 .iter()
@@ -374,7 +381,7 @@
             for (id, job) in jobs {
                 let need = job.spec.need();
                 let key = (need.cpu, need.gpu, need.memory, job.spec.types.is_some());
-                let size = *sizes.entry(key).or_insert_with(|| slot_size(&job.spec, &machines));
+                let size = *sizes.entry(key).or_insert_with(|| slot_size(&job.spec, &sorts));
                 let floor =
                     if job.spec.shape == crate::protocol::job::Shape::Array { 1 } else { job.unfinished() };
                 let cost = f64::from(floor) * size;
@@ -562,12 +569,16 @@
         let per_card = self.cpu_per_card();
         // First what owners can do with what they have, then what must change hands.
         for pass in 0..2 {
-            for (id, job, short, zones) in &mut order {
+            for (id, job, short, zones) in order.iter_mut().filter(|(.., short, _)| *short > 0) {
                 let Some(owner) = &job.owner else { continue };
                 let need = job.spec.need();
                 let mut names: Vec<&str> = rooms
                     .iter()
                     .filter(|(name, room)| {
+                        // Most machines are full: the cheap check first.
+                        if !need.fits(**room) {
+                            return false;
+                        }
                         let own = held.get(*name) == Some(owner);
                         need.fits(self.room_for(&job.spec, name, **room))
                             && own == (pass == 0)
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -55,11 +55,15 @@
             machine.reported = tally;
             machine.heard = Some(self.now);
         }
-        if std::mem::take(&mut self.place_due) {
+        let placed = self.may_place();
+        if placed {
             self.place();
         }
         let answer = self.orders_for(&name, session, tally);
         self.answer(request, Answer::Orders(answer));
+        if placed {
+            self.speak();
+        }
     }
 
     /// Updates what is known of a machine from its own words.
@@ -159,8 +163,6 @@
             self.soon_round();
             self.place_due = true;
         }
-        // Any answer can carry a start.
-        self.place_due |= self.has_waiting();
     }
 
     fn task_ended(&mut self, name: &str, task: &TaskId, cause: Cause) {
@@ -458,17 +460,19 @@
     /// Notices machines that have been silent for so long that their tasks are certainly gone.
     pub(super) fn machines_tick(&mut self) {
         self.stop_gangs();
-        let machines = &self.machines;
-        self.retired.retain(|id, _| machines.values().any(|m| m.tasks.keys().any(|t| t.job == *id)));
+        if !self.retired.is_empty() {
+            let tasks = self.machines.values().flat_map(|m| m.tasks.keys());
+            let seen: BTreeSet<String> =
+                tasks.filter(|t| self.retired.contains_key(&t.job)).map(|t| t.job.clone()).collect();
+            self.retired.retain(|id, _| seen.contains(id));
+        }
         let silence = self.worker_lease + self.worker_lease.mul_f64(DRIFT) + SLACK + SLACK;
+        let at_stake = |m: &Machine| self.owns(m) && !(m.resolved && m.tasks.is_empty());
         let names: Vec<String> =
-            self.machines.iter().filter(|(_, m)| self.owns(m)).map(|(n, _)| n.clone()).collect();
+            self.machines.iter().filter(|(_, m)| at_stake(m)).map(|(n, _)| n.clone()).collect();
         let mut lapsed = Vec::new();
         for name in names {
             let Some(machine) = self.machines.get(&name) else { continue };
-            if machine.resolved && machine.tasks.is_empty() {
-                continue;
-            }
             let former =
                 machine.former_gone.or_else(|| self.nobody_else_answers(machine.stamp).then_some(self.now));
             let Some(machine) = self.machines.get_mut(&name) else { continue };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -38,6 +38,9 @@
 /// Answers in flight when a lease runs out, and timers that fire late.
 pub(crate) const SLACK: Micros = Micros::from_millis(300);
 
+/// Least time between two passes over the jobs that wait for a start.
+const PLACE_SPACING: Micros = Micros::from_millis(90);
+
 /// Names a request from outside that waits for its [`Answer`].
 pub type RequestId = u64;
 /// Names a call to the state service or the cloud.
@@ -238,7 +241,7 @@
     pub(crate) view_stamp: u64,
     pub(crate) counter: (u64, u64),
     pub(crate) quota: (QuotaRecord, u64),
-    pub(crate) shards: BTreeMap<usize, (Vec<String>, u64)>,
+    pub(crate) shards: BTreeMap<usize, (BTreeSet<String>, u64)>,
     /// Jobs that are over while tasks of theirs may still be somewhere: team and what each takes.
     pub(crate) retired: BTreeMap<String, (String, Resources)>,
     pub(crate) rentals: BTreeMap<String, (Rental, u64)>,
@@ -267,6 +270,7 @@
     pub(crate) status_sent: Micros,
     pub(crate) flush_at: Micros,
     pub(crate) place_due: bool,
+    place_at: Micros,
     /// The view names this controller under its present registration.
     pub(crate) placing: bool,
     /// Jobs have been taken over and not all machines are accounted for.
@@ -329,6 +333,7 @@
             status_sent: Micros::ZERO,
             flush_at: Micros::ZERO,
             place_due: false,
+            place_at: Micros::ZERO,
             placing: false,
             taking_over: false,
             counters: Counters::default(),
@@ -364,8 +369,7 @@
             Event::Query(request, job) => self.queried(request, job),
             Event::Withdraw(request, job) => self.withdrawal(request, job),
         }
-        if self.place_due {
-            self.place_due = false;
+        if self.may_place() {
             self.place();
             self.speak();
         }
@@ -373,6 +377,17 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Whether a pass over all waiting jobs is due. Many events call for one, and on a large
+    /// deployment a pass for each would take more than the whole share of the processor.
+    pub(crate) fn may_place(&mut self) -> bool {
+        let due = self.place_due && self.now >= self.place_at;
+        if due {
+            self.place_due = false;
+            self.place_at = self.now + PLACE_SPACING;
+        }
+        due
+    }
+
     fn tick(&mut self) {
         self.membership_tick();
         for (purpose, _) in self.calls.expire(self.now, Micros::from_millis(1_500)) {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -28,6 +28,8 @@
     /// Where its tasks are, or may be. While machines change hands a task may be suspected in several
     /// places, and leaving one of them must not make it forgotten in another.
     pub on: BTreeMap<u32, Vec<String>>,
+    /// How many of these are not done, kept in step: every event asks for it.
+    placed: u32,
     pub volume: u32,
     /// No task below this number is left to start.
     pub next: u32,
@@ -54,6 +56,7 @@
             completing: false,
             retry_at: Micros::ZERO,
             on: BTreeMap::new(),
+            placed: 0,
             volume: 0,
             next: 0,
             attempt: 0,
@@ -70,6 +73,9 @@
 
     pub fn put_on(&mut self, index: u32, machine: &str) {
         let places = self.on.entry(index).or_default();
+        if places.is_empty() && !self.done.contains(index) {
+            self.placed += 1;
+        }
         if !places.iter().any(|m| m == machine) {
             places.push(machine.to_owned());
         }
@@ -80,6 +86,9 @@
             places.retain(|m| m != machine);
             if places.is_empty() {
                 self.on.remove(&index);
+                if !self.done.contains(index) {
+                    self.placed -= 1;
+                }
                 self.next = self.next.min(index);
             }
         }
@@ -87,7 +96,14 @@
 
     /// Tasks that are somewhere, or may be, and are not done.
     pub fn placed(&self) -> u32 {
-        self.on.keys().filter(|index| !self.done.contains(**index)).count() as u32
+        self.placed
+    }
+
+    /// Adds completions that the store holds.
+    pub fn merge(&mut self, chunk: usize, value: &serde_json::Value) {
+        self.stored.merge(chunk, value, self.spec.tasks);
+        self.done.merge(chunk, value, self.spec.tasks);
+        self.placed = self.on.keys().filter(|index| !self.done.contains(**index)).count() as u32;
     }
 
     pub fn is_gang(&self) -> bool {
@@ -104,6 +120,7 @@
         let mut new = false;
         for i in range {
             if self.done.insert(i) {
+                self.placed -= u32::from(self.on.contains_key(&i));
                 self.dirty.insert(chunk(i));
                 new = true;
             }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -33,6 +33,22 @@
         && spec.need().fits(machine.supply)
 }
 
+/// Room on the machines that an owner may use, during one pass.
+struct Rooms {
+    free: BTreeMap<String, Resources>,
+    per_card: u64,
+}
+
+impl Rooms {
+    fn take(&mut self, names: &[String], need: Resources) {
+        for name in names {
+            if let Some(room) = self.free.get_mut(name) {
+                *room = room.minus(need);
+            }
+        }
+    }
+}
+
 impl Controller {
     /// This controller's own job, fully taken over.
     fn places(&self, job: &Job) -> bool {
@@ -47,11 +63,6 @@
         if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
     }
 
-    /// Some own job could use a start; a cheap test made at every report.
-    pub(super) fn has_waiting(&self) -> bool {
-        self.jobs.values().any(|j| self.places(j) && j.placed() < self.wanted(j) && j.held_until <= self.now)
-    }
-
     /// Plans starts for all own jobs, the most urgent first.
     pub(super) fn place(&mut self) {
         if !self.entitled() || !self.placing {
@@ -67,12 +78,9 @@
             return;
         }
         order.sort();
-        let mut rooms: BTreeMap<String, Resources> = BTreeMap::new();
-        for (name, machine) in &self.machines {
-            if self.usable(machine) {
-                rooms.insert(name.clone(), machine.free());
-            }
-        }
+        let usable = self.machines.iter().filter(|(_, m)| self.usable(m));
+        let free = usable.map(|(name, m)| (name.clone(), m.free())).collect();
+        let mut rooms = Rooms { free, per_card: self.cpu_per_card() };
         let mut planned = 0;
         let mut held_back: Option<u8> = None;
         for (rank, _, id) in order {
@@ -102,19 +110,20 @@
 
     /// Keeps, for each waiting own job of this rank or higher, the machine that will soonest have
     /// room for it.
-    fn hold_room(&self, rooms: &mut BTreeMap<String, Resources>, rank: u8) {
+    fn hold_room(&self, rooms: &mut Rooms, rank: u8) {
         let waiting = self.jobs.values().filter(|j| {
             u8::MAX - j.spec.priority as u8 <= rank && self.places(j) && j.placed() < self.wanted(j)
         });
         for job in waiting {
             let best = rooms
+                .free
                 .iter()
                 .filter_map(|(name, room)| self.machines.get(name).map(|m| (name, room, m)))
                 .filter(|(_, _, m)| allows(&job.spec, m))
                 .max_by_key(|(_, room, m)| room.cpu * 1000 / m.supply.cpu.max(1))
                 .map(|(name, ..)| name.clone());
             if let Some(name) = best {
-                rooms.remove(&name);
+                rooms.free.remove(&name);
             }
         }
     }
@@ -150,46 +159,30 @@
             && machine.heard.is_some_and(|at| self.now.since(at) < recent)
     }
 
-    fn place_array(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
+    fn place_array(&mut self, id: &str, rooms: &mut Rooms) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let mut short = self.wanted(job).saturating_sub(job.placed()) as usize;
-        let mut index = job.next;
-        let mut first_left = None;
-        let mut starts: Vec<(u32, String)> = Vec::new();
-        let mut zones = self.zone_counts(id);
-        let mut room_left = self.team_room(&spec);
-        while short > 0 && index < spec.tasks && starts.len() < MOST_STARTS {
-            let Some(job) = self.jobs.get(id) else { break };
-            if job.done.contains(index) || job.on.contains_key(&index) {
-                index += 1;
-                continue;
-            }
-            first_left.get_or_insert(index);
-            if !spec.need().fits(room_left) {
-                break;
-            }
-            let Some(name) = self.take_room(&spec, rooms, &mut zones) else { break };
-            room_left = room_left.minus(spec.need());
-            starts.push((index, name));
-            short -= 1;
-            index += 1;
+        let short = self.wanted(job).saturating_sub(job.placed()).min(MOST_STARTS as u32);
+        let short = u64::from(short).min(spec.need().times_in(self.team_room(&spec)));
+        let names = self.choose(&spec, short as usize, rooms, self.zone_counts(id), None);
+        if names.is_empty() {
+            return 0;
         }
-        let count = starts.len();
+        rooms.take(&names, spec.need());
+        let open = |i: &u32| !job.done.contains(*i) && !job.on.contains_key(i);
+        let starts: Vec<u32> = (job.next..spec.tasks).filter(open).take(names.len()).collect();
         let attempt = self.next_attempt(id);
-        for (index, name) in starts {
-            self.plan(id, index, attempt, &name);
+        for (index, name) in starts.iter().zip(&names) {
+            self.plan(id, *index, attempt, name);
         }
-        if let Some(job) = self.jobs.get_mut(id)
-            && let Some(first) = first_left
-        {
-            job.next = first;
+        if let (Some(job), Some(first)) = (self.jobs.get_mut(id), starts.first()) {
+            job.next = *first;
         }
-        count
+        starts.len()
     }
 
     /// Starts all tasks of a gang, or none. No task of an earlier attempt may be left.
-    fn place_gang(&mut self, id: &str, rooms: &mut BTreeMap<String, Resources>) -> usize {
+    fn place_gang(&mut self, id: &str, rooms: &mut Rooms) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
         if self.wanted(job) < spec.tasks {
@@ -206,40 +199,27 @@
         }
         let mut zones: Vec<Option<String>> = vec![None];
         if spec.one_zone {
-            let mut named: Vec<String> =
-                rooms.keys().filter_map(|m| self.machines.get(m)).map(|m| m.row.zone.clone()).collect();
-            named.sort();
-            named.dedup();
-            zones = named.into_iter().map(Some).collect();
-        }
-        let mut best: Option<(Vec<String>, BTreeMap<String, Resources>)> = None;
-        for zone in zones {
-            let mut left = rooms.clone();
-            if let Some(zone) = &zone {
-                left.retain(|name, _| self.machines.get(name).is_some_and(|m| m.row.zone == *zone));
-            }
-            let mut counts = BTreeMap::new();
-            let mut chosen = Vec::new();
-            for _ in 0..spec.tasks {
-                let Some(name) = self.take_room(&spec, &mut left, &mut counts) else { break };
-                chosen.push(name);
-            }
-            if chosen.len() == spec.tasks as usize && best.is_none() {
-                best = Some((chosen, left));
-            }
-        }
-        let Some((chosen, left)) = best else { return 0 };
-        rooms.extend(left);
+            let machines = rooms.free.keys().filter_map(|m| self.machines.get(m));
+            let named: BTreeSet<&String> = machines.map(|m| &m.row.zone).collect();
+            zones = named.into_iter().map(|z| Some(z.clone())).collect();
+        }
+        let size = spec.tasks as usize;
+        let chosen = zones.iter().find_map(|zone| {
+            let names = self.choose(&spec, size, rooms, BTreeMap::new(), zone.as_deref());
+            (names.len() == size).then_some(names)
+        });
+        let Some(chosen) = chosen else { return 0 };
+        rooms.take(&chosen, total);
         let attempt = self.next_attempt(id);
         for (index, name) in chosen.iter().enumerate() {
             self.plan(id, index as u32, attempt, name);
         }
-        chosen.len()
+        size
     }
 
     /// A gang that has not started may lack a task whose start was lost or refused: a replacement
     /// with the same attempt number completes it.
-    fn complete_gang(&mut self, id: &str, spec: &JobSpec, rooms: &mut BTreeMap<String, Resources>) -> usize {
+    fn complete_gang(&mut self, id: &str, spec: &JobSpec, rooms: &mut Rooms) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let mut attempts = BTreeSet::new();
         for (index, places) in &job.on {
@@ -252,19 +232,13 @@
         }
         let missing: Vec<u32> = (0..spec.tasks).filter(|i| !job.on.contains_key(i)).collect();
         let (Some(attempt), 1) = (attempts.first().copied(), attempts.len()) else { return 0 };
-        let mut planned = 0;
-        let mut zones = self.zone_counts(id);
-        let mut room_left = self.team_room(spec);
-        for index in missing {
-            if !spec.need().fits(room_left) {
-                break;
-            }
-            let Some(name) = self.take_room(spec, rooms, &mut zones) else { break };
-            room_left = room_left.minus(spec.need());
-            self.plan(id, index, attempt, &name);
-            planned += 1;
+        let most = spec.need().times_in(self.team_room(spec)).min(missing.len() as u64);
+        let names = self.choose(spec, most as usize, rooms, self.zone_counts(id), None);
+        rooms.take(&names, spec.need());
+        for (index, name) in missing.iter().zip(&names) {
+            self.plan(id, *index, attempt, name);
         }
-        planned
+        names.len()
     }
 
     /// A gang stops as a whole: when one of its tasks is being stopped, or its machine is about to be
@@ -339,55 +313,51 @@
         counts
     }
 
-    /// Picks the best machine for one task, and takes its room and its zone into account.
-    fn take_room(
+    /// Machines for up to `count` tasks, each named once for every task it is to take: those that
+    /// have the image first, then the fullest. `zones` says where the job's other tasks are.
+    fn choose(
         &self,
         spec: &JobSpec,
-        rooms: &mut BTreeMap<String, Resources>,
-        zones: &mut BTreeMap<String, u32>,
-    ) -> Option<String> {
-        let name = self.best_machine(spec, rooms, zones)?;
-        if let Some(room) = rooms.get_mut(&name) {
-            *room = room.minus(spec.need());
+        count: usize,
+        rooms: &Rooms,
+        mut zones: BTreeMap<String, u32>,
+        only: Option<&str>,
+    ) -> Vec<String> {
+        let need = spec.need();
+        let mut options: Vec<((bool, u64), &String, Resources, &Machine)> = Vec::new();
+        // Most machines are full, and this is asked for every waiting job: the cheap check first.
+        for (name, room) in rooms.free.iter().filter(|(_, room)| count > 0 && need.fits(**room)) {
+            let Some(m) = self.machines.get(name) else { continue };
+            if allows(spec, m) && only.is_none_or(|z| z == m.row.zone) {
+                options.push(((!m.images.contains(&spec.image), room.cpu - need.cpu), name, *room, m));
+            }
         }
-        if let Some(m) = self.machines.get(&name) {
-            *zones.entry(m.row.zone.clone()).or_default() += 1;
+        options.sort_unstable_by_key(|(key, name, ..)| (*key, *name));
+        let most = spec.tasks.div_ceil(2);
+        let mut total: u32 = zones.values().sum();
+        let mut names = Vec::new();
+        // The best machine stays the best while it has room, for each task makes it fuller.
+        for (_, name, mut room, machine) in options {
+            let mut here = zones.get(&machine.row.zone).copied().unwrap_or(0);
+            let before = names.len();
+            while names.len() < count
+                && need.fits(self.room_for(spec, name, room))
+                && !keeps_off(spec, machine, room, rooms.per_card)
+                && (!spec.one_zone || total == here)
+                && (!spec.spread || here < most)
+            {
+                names.push(name.clone());
+                room = room.minus(need);
+                (here, total) = (here + 1, total + 1);
+            }
+            if names.len() > before {
+                zones.insert(machine.row.zone.clone(), here);
+            }
+            if names.len() == count {
+                break;
+            }
         }
-        Some(name)
-    }
-
-    fn best_machine(
-        &self,
-        spec: &JobSpec,
-        rooms: &BTreeMap<String, Resources>,
-        zones: &BTreeMap<String, u32>,
-    ) -> Option<String> {
-        let need = spec.need();
-        let zone_ok = |zone: &String| {
-            let here = zones.get(zone).copied().unwrap_or(0);
-            let one = !spec.one_zone || zones.values().sum::<u32>() == here;
-            one && (!spec.spread || here < spec.tasks.div_ceil(2))
-        };
-        let per_card = if spec.gpus > 0.0 { 0 } else { self.cpu_per_card() };
-        rooms
-            .iter()
-            .filter_map(|(name, room)| {
-                let machine = self.machines.get(name)?;
-                if !need.fits(self.room_for(spec, name, *room))
-                    || !allows(spec, machine)
-                    || !zone_ok(&machine.row.zone)
-                {
-                    return None;
-                }
-                if keeps_off(spec, machine, *room, per_card) {
-                    return None;
-                }
-                let cached = machine.images.contains(&spec.image);
-                let tight = room.cpu.saturating_sub(need.cpu);
-                Some(((!cached, tight), name))
-            })
-            .min()
-            .map(|(_, name)| name.clone())
+        names
     }
 
     /// Processors that one accelerator's work takes, by the largest live job that uses any.
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -1,5 +1,7 @@
 //! The controller's copy of the followed records, and what other controllers say.
 
+use std::collections::BTreeSet;
+
 use serde_json::Value;
 
 use crate::bookkeeping::records::{self, BlockRow, LeaderRecord, TaskSet};
@@ -124,8 +126,7 @@
             let Ok(chunk) = chunk.parse::<usize>() else { return };
             self.done_keys.entry(job.to_owned()).or_default().insert(chunk, stamp);
             if let Some(j) = self.jobs.get_mut(job) {
-                j.stored.merge(chunk, &value, j.spec.tasks);
-                j.done.merge(chunk, &value, j.spec.tasks);
+                j.merge(chunk, &value);
             }
         } else if let Some(member) = key.strip_prefix(records::NODE) {
             self.nodes.insert(member.to_owned(), stamp);
@@ -200,9 +201,9 @@
         if self.shards.get(&shard).is_some_and(|s| s.1 >= stamp) {
             return;
         }
-        let names: Vec<String> = rows.iter().map(|r| r.machine.clone()).collect();
+        let names: BTreeSet<String> = rows.iter().map(|r| r.machine.clone()).collect();
         let before = self.shards.insert(shard, (names.clone(), stamp)).map(|s| s.0).unwrap_or_default();
-        for gone in before.iter().filter(|n| !names.contains(n)) {
+        for gone in before.iter().filter(|n| !names.contains(*n)) {
             // Its row goes only after the cloud has confirmed that the machine is gone.
             self.set_tasks(gone, Default::default());
             self.machines.remove(gone);
