--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -9,6 +9,7 @@
 use crate::coordination::placement::{allows, keeps_off};
 use crate::coordination::volumes::{Claim, share};
 use crate::coordination::{Controller, Effect, Purpose};
+use crate::protocol::job::JobSpec;
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
@@ -63,7 +64,7 @@
 
 /// One task's share of its pool: processors, or accelerators. A machine that takes only one large
 /// task has but one slot for it, so the share is the machine's part that the task makes unusable.
-fn slot_size(spec: &crate::protocol::job::JobSpec, machines: &[&Machine]) -> f64 {
+fn slot_size(spec: &JobSpec, machines: &[&Machine]) -> f64 {
     let need = spec.need();
     let part = |m: &&&Machine| {
         let times = need.times_in(m.supply).max(1) as f64;
@@ -330,10 +331,12 @@
             round,
             volumes: volumes.clone(),
             kept: kept.clone(),
+            reserved: self.reserved.clone(),
             surplus: surplus.clone(),
         };
         self.effects.push(Effect::Send(None, message));
-        self.take_volumes(volumes, kept);
+        let reserved = self.reserved.clone();
+        self.take_volumes(volumes, kept, reserved);
         self.stop_surplus(&surplus);
         if self.lead.as_ref().is_some_and(|l| l.granting) {
             return;
@@ -518,7 +521,7 @@
     }
 
     /// Tasks of a class for which room is kept.
-    pub(super) fn slots_kept(&self, spec: &crate::protocol::job::JobSpec) -> usize {
+    pub(super) fn slots_kept(&self, spec: &JobSpec) -> usize {
         2 * spec.floor() as usize
     }
 
@@ -567,6 +570,35 @@
         let mut unplaced = Vec::new();
         let mut promised = BTreeSet::new();
         let per_card = self.cpu_per_card();
+        // Gangs come together whole or not at all: a part that waits for the rest would only idle.
+        let mut reserved: Vec<(String, String)> = Vec::new();
+        let whole = |j: &Job| j.is_gang() && j.on.is_empty() && !j.spec.spread;
+        for (id, job, short, zones) in order.iter_mut().filter(|(_, j, ..)| whole(j)) {
+            let Some(owner) = &job.owner else { continue };
+            let places = self.gang_places(id, job, owner, &rooms, &held, &moved, &reserved, per_card);
+            let Ok(places) = places else {
+                if let Err(Some(zone)) = places
+                    && reserved.len() < self.zones_reservable()
+                {
+                    reserved.push((zone, (*id).clone()));
+                }
+                unplaced.push(Unplaced { job: (*id).clone(), count: *short, zones: zones.clone() });
+                *short = 0;
+                continue;
+            };
+            let need = job.spec.need();
+            for (name, n) in places {
+                let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
+                rooms.insert(name, rooms[name].minus(used));
+                promised.insert(name.to_owned());
+                if held.get(name) != Some(owner) {
+                    moves.insert(name.to_owned(), owner.clone());
+                    held.insert(name, owner.clone());
+                }
+            }
+            *short = 0;
+        }
+        let closed = |spec: &JobSpec, m: &Machine| self.reserved_for_another(&reserved, spec, m);
         // First what owners can do with what they have, then what must change hands.
         for pass in 0..2 {
             for (id, job, short, zones) in order.iter_mut().filter(|(.., short, _)| *short > 0) {
@@ -583,7 +615,10 @@
                         need.fits(self.room_for(&job.spec, name, **room))
                             && own == (pass == 0)
                             && (own || !moved.contains(**name))
-                            && self.machines.get(**name).is_some_and(|m| allows(&job.spec, m))
+                            && self
+                                .machines
+                                .get(**name)
+                                .is_some_and(|m| allows(&job.spec, m) && !closed(&job.spec, m))
                     })
                     .map(|(name, _)| *name)
                     .collect();
@@ -601,15 +636,11 @@
                         break;
                     }
                     let machine = &self.machines[name];
-                    let mut room = self.room_for(&job.spec, name, rooms[name]);
-                    if keeps_off(&job.spec, machine, room, per_card) {
-                        continue;
-                    }
-                    if job.spec.gpus == 0.0 && machine.supply.gpu > 0 {
-                        room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
-                    }
                     let here = zones.as_mut().map(|z| z.entry(machine.row.zone.clone()).or_default());
-                    let n = need.times_in(room).min(*short).min(here.as_ref().map_or(u64::MAX, |h| **h));
+                    let n = self
+                        .slots(&job.spec, name, machine, rooms[name], per_card)
+                        .min(*short)
+                        .min(here.as_ref().map_or(u64::MAX, |h| **h));
                     if n == 0 {
                         continue;
                     }
@@ -636,6 +667,7 @@
         for (name, m) in self.machines.iter().filter(|(_, m)| m.renew && self.holds(m)) {
             moves.entry(name.clone()).or_insert_with(|| m.row.owner.clone());
         }
+        self.reserved = reserved;
         if let Some(lead) = &mut self.lead {
             lead.unplaced = unplaced;
             lead.promised = promised;
@@ -654,6 +686,77 @@
         (moves, known)
     }
 
+    /// How many tasks of a job a machine takes in the room it has.
+    fn slots(&self, spec: &JobSpec, name: &str, machine: &Machine, room: Resources, per_card: u64) -> u64 {
+        let mut room = self.room_for(spec, name, room);
+        if keeps_off(spec, machine, room, per_card) {
+            return 0;
+        }
+        if spec.gpus == 0.0 && machine.supply.gpu > 0 {
+            room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
+        }
+        spec.need().times_in(room)
+    }
+
+    /// Where all tasks of a gang fit: where its owner has the room already, or else in the zone that
+    /// it leaves least of. If they fit nowhere, the zone that has most of what they need.
+    #[allow(clippy::too_many_arguments)]
+    fn gang_places<'a>(
+        &self,
+        id: &str,
+        job: &Job,
+        owner: &String,
+        rooms: &BTreeMap<&'a str, Resources>,
+        held: &BTreeMap<&str, String>,
+        moved: &BTreeSet<String>,
+        reserved: &[(String, String)],
+        per_card: u64,
+    ) -> Result<Vec<(&'a str, u64)>, Option<String>> {
+        let spec = &job.spec;
+        let size = u64::from(spec.tasks);
+        let mut zones: BTreeMap<&str, Vec<(bool, bool, &'a str, u64)>> = BTreeMap::new();
+        for (name, room) in rooms.iter().filter(|(_, room)| spec.need().fits(**room)) {
+            let Some(m) = self.machines.get(*name) else { continue };
+            let foreign = held.get(name) != Some(owner);
+            if !allows(spec, m) || foreign && moved.contains(*name) {
+                continue;
+            }
+            let n = self.slots(spec, name, m, *room, per_card);
+            if n > 0 && !self.reserved_for_another(reserved, spec, m) {
+                let zone = if spec.one_zone { m.row.zone.as_str() } else { "" };
+                zones.entry(zone).or_default().push((foreign, foreign && !m.idle(), name, n));
+            }
+        }
+        let total = |rows: &[(bool, bool, &str, u64)], own: bool| -> u64 {
+            rows.iter().filter(|r| !own || !r.0).map(|r| r.3).sum()
+        };
+        let fitting = zones.values().filter(|rows| total(rows, false) >= size);
+        let Some(rows) = fitting.min_by_key(|rows| (total(rows, true) < size, total(rows, false))) else {
+            // The zone stays the same from round to round, or room would be held back in all of them.
+            let before = self.reserved.iter().find(|(_, j)| j == id).map(|(zone, _)| zone.clone());
+            let most = zones.iter().max_by_key(|(_, rows)| total(rows, false));
+            return Err(before.or_else(|| most.map(|(zone, _)| (*zone).to_owned())));
+        };
+        let mut rows = rows.clone();
+        rows.sort();
+        let mut left = size;
+        let mut places = Vec::new();
+        for (.., name, n) in rows {
+            let n = n.min(left);
+            if n > 0 {
+                places.push((name, n));
+                left -= n;
+            }
+        }
+        Ok(places)
+    }
+
+    /// In how many zones room may be held back at a time for gangs that fit nowhere: in the others
+    /// smaller work goes on.
+    fn zones_reservable(&self) -> usize {
+        self.settings.params.zones.len().div_ceil(2).max(1)
+    }
+
     pub(super) fn heard_elsewhere(&mut self, machine: String, by: String) {
         let now = self.now;
         if let Some(lead) = &mut self.lead {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -256,6 +256,8 @@
     pub(crate) quick: BTreeMap<String, JobSpec>,
     /// Machines with room kept for such a class.
     pub(crate) kept: BTreeMap<String, String>,
+    /// Zones in which room is held back for a gang that fits nowhere.
+    pub(crate) reserved: Vec<(String, String)>,
     /// Controllers that refuse connections: since when, and how often.
     pub(crate) refusals: BTreeMap<String, (Micros, u32)>,
     /// When controllers were last evicted.
@@ -324,6 +326,7 @@
             evict_at: Micros::ZERO,
             quick: BTreeMap::new(),
             kept: BTreeMap::new(),
+            reserved: Vec::new(),
             unresolved: BTreeSet::new(),
             finals: FinalCache::new(tuning.final_cache),
             lead: None,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -37,6 +37,7 @@
 struct Rooms {
     free: BTreeMap<String, Resources>,
     per_card: u64,
+    reserved: Vec<(String, String)>,
 }
 
 impl Rooms {
@@ -55,11 +56,15 @@
         job.owner.as_deref() == Some(self.me()) && !job.adopting && !job.completing
     }
 
+    fn leader_silent(&self) -> bool {
+        self.now.since(self.volumes_heard) > Micros::from_secs_f64(self.tuning.round_s * 3.0)
+    }
+
     /// How many tasks of a job the owner may have started.
     fn wanted(&self, job: &Job) -> u32 {
         // Without a leader's word for a while, work goes on inside the blocks that are held.
-        let silent = self.now.since(self.volumes_heard) > Micros::from_secs_f64(self.tuning.round_s * 3.0);
-        let unheard = silent && self.now.since(job.since) > Micros::from_secs_f64(self.tuning.round_s);
+        let unheard =
+            self.leader_silent() && self.now.since(job.since) > Micros::from_secs_f64(self.tuning.round_s);
         if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
     }
 
@@ -80,7 +85,8 @@
         order.sort();
         let usable = self.machines.iter().filter(|(_, m)| self.usable(m));
         let free = usable.map(|(name, m)| (name.clone(), m.free())).collect();
-        let mut rooms = Rooms { free, per_card: self.cpu_per_card() };
+        let reserved = if self.leader_silent() { Vec::new() } else { self.reserved.clone() };
+        let mut rooms = Rooms { free, per_card: self.cpu_per_card(), reserved };
         let mut planned = 0;
         let mut held_back: Option<u8> = None;
         for (rank, _, id) in order {
@@ -139,6 +145,24 @@
         })
     }
 
+    /// Whether a machine's room is held back for a gang that comes before this job and fits nowhere.
+    pub(super) fn reserved_for_another(
+        &self,
+        reserved: &[(String, String)],
+        spec: &JobSpec,
+        machine: &Machine,
+    ) -> bool {
+        reserved.iter().any(|(zone, id)| {
+            let here = zone.is_empty() || *zone == machine.row.zone;
+            let before = |gang: &JobSpec| {
+                gang.priority >= spec.priority
+                    && (gang.gpus > 0.0) == (spec.gpus > 0.0)
+                    && allows(gang, machine)
+            };
+            here && *id != spec.id && self.jobs.get(id).is_some_and(|j| before(&j.spec))
+        })
+    }
+
     /// What a job may take of a machine's room, some of which may be kept for a more urgent class.
     pub(super) fn room_for(&self, spec: &JobSpec, name: &str, room: Resources) -> Resources {
         match self.kept.get(name).and_then(|class| self.quick.get(class)) {
@@ -204,11 +228,18 @@
             zones = named.into_iter().map(|z| Some(z.clone())).collect();
         }
         let size = spec.tasks as usize;
-        let chosen = zones.iter().find_map(|zone| {
-            let names = self.choose(&spec, size, rooms, BTreeMap::new(), zone.as_deref());
-            (names.len() == size).then_some(names)
-        });
-        let Some(chosen) = chosen else { return 0 };
+        // Of the zones where all fit, the one that is left with least: a large gang may come next.
+        let mut best: Option<(usize, Vec<String>)> = None;
+        for zone in zones {
+            let mut names =
+                self.choose(&spec, size.max(MOST_STARTS), rooms, BTreeMap::new(), zone.as_deref());
+            let room = names.len();
+            names.truncate(size);
+            if names.len() == size && best.as_ref().is_none_or(|(least, _)| room < *least) {
+                best = Some((room, names));
+            }
+        }
+        let Some((_, chosen)) = best else { return 0 };
         rooms.take(&chosen, total);
         let attempt = self.next_attempt(id);
         for (index, name) in chosen.iter().enumerate() {
@@ -328,7 +359,10 @@
         // Most machines are full, and this is asked for every waiting job: the cheap check first.
         for (name, room) in rooms.free.iter().filter(|(_, room)| count > 0 && need.fits(**room)) {
             let Some(m) = self.machines.get(name) else { continue };
-            if allows(spec, m) && only.is_none_or(|z| z == m.row.zone) {
+            if allows(spec, m)
+                && only.is_none_or(|z| z == m.row.zone)
+                && !self.reserved_for_another(&rooms.reserved, spec, m)
+            {
                 options.push(((!m.images.contains(&spec.image), room.cpu - need.cpu), name, *room, m));
             }
         }
@@ -427,8 +461,14 @@
     }
 
     /// The leader's volumes. A job it does not name is not admitted.
-    pub(super) fn take_volumes(&mut self, volumes: Vec<(String, u32)>, kept: Vec<(String, String)>) {
+    pub(super) fn take_volumes(
+        &mut self,
+        volumes: Vec<(String, u32)>,
+        kept: Vec<(String, String)>,
+        reserved: Vec<(String, String)>,
+    ) {
         self.kept = kept.into_iter().collect();
+        self.reserved = reserved;
         self.volumes_heard = self.now;
         let named: BTreeMap<String, u32> = volumes.into_iter().collect();
         for (id, job) in &mut self.jobs {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -388,9 +388,9 @@
         }
         match message {
             PeerMessage::Status(status) => self.peer_status(from, status),
-            PeerMessage::Volumes { leader, volumes, kept, surplus, .. } => {
+            PeerMessage::Volumes { leader, volumes, kept, reserved, surplus, .. } => {
                 if self.leader.as_ref().is_some_and(|l| l.0 == from && l.2 == leader) {
-                    self.take_volumes(volumes, kept);
+                    self.take_volumes(volumes, kept, reserved);
                     self.stop_surplus(&surplus);
                 }
             }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -72,6 +72,9 @@
         /// Room on some machines is kept for jobs of a class that must start sooner than any machine
         /// boots: machine and class.
         kept: Vec<(String, String)>,
+        /// Zones in which room is held back for a gang that fits nowhere: zone, or none for all, and
+        /// job.
+        reserved: Vec<(String, String)>,
         /// Tasks to stop of jobs above their volume, for one that has waited below its own.
         surplus: Vec<(String, u32)>,
     },
