Let plain work use standing accelerator machines that idle; hold back one zone of three

Where teams are guaranteed accelerators the machines stand there and are paid for anyway; while more than a quarter of the accelerators is free, plain work may take such a machine, after all others.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::{allows, keeps_off};
+use crate::coordination::placement::{Cards, allows};
 use crate::coordination::volumes::{Claim, share};
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::job::JobSpec;
@@ -62,6 +62,17 @@
     pub zones: ZonesLeft,
 }
 
+/// A machine's room for tasks of a gang, in the order in which it is taken.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Offer<'a> {
+    /// It has accelerators that the gang does not use.
+    dear: bool,
+    foreign: bool,
+    busy: bool,
+    name: &'a str,
+    slots: u64,
+}
+
 /// One task's share of its pool: processors, or accelerators. A machine that takes only one large
 /// task has but one slot for it, so the share is the machine's part that the task makes unusable.
 fn slot_size(spec: &JobSpec, machines: &[&Machine]) -> f64 {
@@ -569,13 +580,13 @@
         let mut moves: BTreeMap<String, String> = BTreeMap::new();
         let mut unplaced = Vec::new();
         let mut promised = BTreeSet::new();
-        let per_card = self.cpu_per_card();
+        let cards = self.cards(self.machines.values().filter(|m| self.serving(m)));
         // Gangs come together whole or not at all: a part that waits for the rest would only idle.
         let mut reserved: Vec<(String, String)> = Vec::new();
         let whole = |j: &Job| j.is_gang() && j.on.is_empty() && !j.spec.spread;
         for (id, job, short, zones) in order.iter_mut().filter(|(_, j, ..)| whole(j)) {
             let Some(owner) = &job.owner else { continue };
-            let places = self.gang_places(id, job, owner, &rooms, &held, &moved, &reserved, per_card);
+            let places = self.gang_places(id, job, owner, &rooms, &held, &moved, &reserved, cards);
             let Ok(places) = places else {
                 if let Err(Some(zone)) = places
                     && reserved.len() < self.zones_reservable()
@@ -638,7 +649,7 @@
                     let machine = &self.machines[name];
                     let here = zones.as_mut().map(|z| z.entry(machine.row.zone.clone()).or_default());
                     let n = self
-                        .slots(&job.spec, name, machine, rooms[name], per_card)
+                        .slots(&job.spec, name, machine, rooms[name], cards)
                         .min(*short)
                         .min(here.as_ref().map_or(u64::MAX, |h| **h));
                     if n == 0 {
@@ -687,15 +698,8 @@
     }
 
     /// How many tasks of a job a machine takes in the room it has.
-    fn slots(&self, spec: &JobSpec, name: &str, machine: &Machine, room: Resources, per_card: u64) -> u64 {
-        let mut room = self.room_for(spec, name, room);
-        if keeps_off(spec, machine, room, per_card) {
-            return 0;
-        }
-        if spec.gpus == 0.0 && machine.supply.gpu > 0 {
-            room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * per_card);
-        }
-        spec.need().times_in(room)
+    fn slots(&self, spec: &JobSpec, name: &str, machine: &Machine, room: Resources, cards: Cards) -> u64 {
+        cards.times(spec, machine, self.room_for(spec, name, room))
     }
 
     /// Where all tasks of a gang fit: where its owner has the room already, or else in the zone that
@@ -710,25 +714,31 @@
         held: &BTreeMap<&str, String>,
         moved: &BTreeSet<String>,
         reserved: &[(String, String)],
-        per_card: u64,
+        cards: Cards,
     ) -> Result<Vec<(&'a str, u64)>, Option<String>> {
         let spec = &job.spec;
         let size = u64::from(spec.tasks);
-        let mut zones: BTreeMap<&str, Vec<(bool, bool, &'a str, u64)>> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, Vec<Offer<'a>>> = BTreeMap::new();
         for (name, room) in rooms.iter().filter(|(_, room)| spec.need().fits(**room)) {
             let Some(m) = self.machines.get(*name) else { continue };
             let foreign = held.get(name) != Some(owner);
             if !allows(spec, m) || foreign && moved.contains(*name) {
                 continue;
             }
-            let n = self.slots(spec, name, m, *room, per_card);
+            let n = self.slots(spec, name, m, *room, cards);
             if n > 0 && !self.reserved_for_another(reserved, spec, m) {
                 let zone = if spec.one_zone { m.row.zone.as_str() } else { "" };
-                zones.entry(zone).or_default().push((foreign, foreign && !m.idle(), name, n));
+                zones.entry(zone).or_default().push(Offer {
+                    dear: m.supply.gpu > 0 && spec.gpus == 0.0,
+                    foreign,
+                    busy: foreign && !m.idle(),
+                    name,
+                    slots: n,
+                });
             }
         }
-        let total = |rows: &[(bool, bool, &str, u64)], own: bool| -> u64 {
-            rows.iter().filter(|r| !own || !r.0).map(|r| r.3).sum()
+        let total = |rows: &[Offer], own: bool| -> u64 {
+            rows.iter().filter(|r| !own || !r.foreign).map(|r| r.slots).sum()
         };
         let fitting = zones.values().filter(|rows| total(rows, false) >= size);
         let Some(rows) = fitting.min_by_key(|rows| (total(rows, true) < size, total(rows, false))) else {
@@ -741,10 +751,10 @@
         rows.sort();
         let mut left = size;
         let mut places = Vec::new();
-        for (.., name, n) in rows {
-            let n = n.min(left);
+        for offer in rows {
+            let n = offer.slots.min(left);
             if n > 0 {
-                places.push((name, n));
+                places.push((offer.name, n));
                 left -= n;
             }
         }
@@ -754,7 +764,7 @@
     /// In how many zones room may be held back at a time for gangs that fit nowhere: in the others
     /// smaller work goes on.
     fn zones_reservable(&self) -> usize {
-        self.settings.params.zones.len().div_ceil(2).max(1)
+        (self.settings.params.zones.len() / 2).max(1)
     }
 
     pub(super) fn heard_elsewhere(&mut self, machine: String, by: String) {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -15,14 +15,46 @@
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
 
-/// Work without accelerators may use what accelerator work leaves of a machine that it has in use,
-/// but does not keep such a machine for itself: it costs several times as much.
-pub(super) fn keeps_off(spec: &JobSpec, machine: &Machine, room: Resources, per_card: u64) -> bool {
-    if spec.gpus > 0.0 || machine.supply.gpu == 0 || spec.types.is_some() {
-        return false;
-    }
-    let cards_in_use = machine.tasks.values().any(|t| !t.ended() && t.need.gpu > 0);
-    !cards_in_use || spec.need().cpu + room.gpu / 1000 * per_card > room.cpu
+/// Accelerators count as spare while more than one in so many is free.
+const SPARE_PART: u64 = 4;
+
+/// What plain work leaves of accelerator machines to the accelerators' own.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cards {
+    /// Processors that one accelerator's work takes, by the largest live job that uses any.
+    per_card: u64,
+    /// Teams are guaranteed accelerators, so that the machines stand there anyway, and a good part of
+    /// these has no work.
+    spare: bool,
+}
+
+impl Cards {
+    /// Work without accelerators may use what accelerator work leaves of a machine that it has in use,
+    /// but does not keep such a machine for itself, which costs several times as much, unless the
+    /// machine is there and paid for anyway.
+    pub(super) fn keep_off(self, spec: &JobSpec, machine: &Machine, room: Resources) -> bool {
+        if spec.gpus > 0.0 || machine.supply.gpu == 0 || spec.types.is_some() || self.idles(machine) {
+            return false;
+        }
+        let cards_in_use = machine.tasks.values().any(|t| !t.ended() && t.need.gpu > 0);
+        !cards_in_use || spec.need().cpu + room.gpu / 1000 * self.per_card > room.cpu
+    }
+
+    /// A standing machine without work for its accelerators, of which there are plenty.
+    fn idles(self, machine: &Machine) -> bool {
+        self.spare && !machine.row.spot && machine.tasks.values().all(|t| t.ended() || t.need.gpu == 0)
+    }
+
+    /// How many tasks of a plain job a machine takes beside the work of its accelerators.
+    pub(super) fn times(self, spec: &JobSpec, machine: &Machine, mut room: Resources) -> u64 {
+        if self.keep_off(spec, machine, room) {
+            return 0;
+        }
+        if spec.gpus == 0.0 && machine.supply.gpu > 0 && !self.idles(machine) {
+            room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * self.per_card);
+        }
+        spec.need().times_in(room)
+    }
 }
 
 /// Whether a job's description allows a machine, apart from its other tasks.
@@ -33,10 +65,13 @@
         && spec.need().fits(machine.supply)
 }
 
+/// What makes an owner prefer one machine to another: the least first.
+type Preference = (bool, bool, u64);
+
 /// Room on the machines that an owner may use, during one pass.
 struct Rooms {
     free: BTreeMap<String, Resources>,
-    per_card: u64,
+    cards: Cards,
     reserved: Vec<(String, String)>,
 }
 
@@ -86,7 +121,8 @@
         let usable = self.machines.iter().filter(|(_, m)| self.usable(m));
         let free = usable.map(|(name, m)| (name.clone(), m.free())).collect();
         let reserved = if self.leader_silent() { Vec::new() } else { self.reserved.clone() };
-        let mut rooms = Rooms { free, per_card: self.cpu_per_card(), reserved };
+        let mut rooms =
+            Rooms { free, cards: self.cards(self.machines.values().filter(|m| self.usable(m))), reserved };
         let mut planned = 0;
         let mut held_back: Option<u8> = None;
         for (rank, _, id) in order {
@@ -355,7 +391,7 @@
         only: Option<&str>,
     ) -> Vec<String> {
         let need = spec.need();
-        let mut options: Vec<((bool, u64), &String, Resources, &Machine)> = Vec::new();
+        let mut options: Vec<(Preference, &String, Resources, &Machine)> = Vec::new();
         // Most machines are full, and this is asked for every waiting job: the cheap check first.
         for (name, room) in rooms.free.iter().filter(|(_, room)| count > 0 && need.fits(**room)) {
             let Some(m) = self.machines.get(name) else { continue };
@@ -363,7 +399,9 @@
                 && only.is_none_or(|z| z == m.row.zone)
                 && !self.reserved_for_another(&rooms.reserved, spec, m)
             {
-                options.push(((!m.images.contains(&spec.image), room.cpu - need.cpu), name, *room, m));
+                let dear = need.gpu == 0 && m.supply.gpu > 0;
+                let fetches = !m.images.contains(&spec.image);
+                options.push(((dear && m.idle(), fetches, room.cpu - need.cpu), name, *room, m));
             }
         }
         options.sort_unstable_by_key(|(key, name, ..)| (*key, *name));
@@ -376,7 +414,7 @@
             let before = names.len();
             while names.len() < count
                 && need.fits(self.room_for(spec, name, room))
-                && !keeps_off(spec, machine, room, rooms.per_card)
+                && !rooms.cards.keep_off(spec, machine, room)
                 && (!spec.one_zone || total == here)
                 && (!spec.spread || here < most)
             {
@@ -394,10 +432,14 @@
         names
     }
 
-    /// Processors that one accelerator's work takes, by the largest live job that uses any.
-    pub(super) fn cpu_per_card(&self) -> u64 {
+    /// What plain work leaves to accelerators on these machines.
+    pub(super) fn cards<'a>(&self, machines: impl Iterator<Item = &'a Machine>) -> Cards {
         let per = |j: &Job| (j.spec.cpus * 1e3 / j.spec.gpus) as u64;
-        self.jobs.values().filter(|j| j.spec.gpus > 0.0).map(per).max().unwrap_or(0)
+        let per_card = self.jobs.values().filter(|j| j.spec.gpus > 0.0).map(per).max().unwrap_or(0);
+        let guaranteed = self.settings.params.teams.iter().any(|t| t.gpus > 0.0);
+        let with_cards = machines.filter(|m| guaranteed && m.supply.gpu > 0);
+        let (free, all) = with_cards.fold((0, 0), |(free, all), m| (free + m.free().gpu, all + m.supply.gpu));
+        Cards { per_card, spare: free > 0 && free * SPARE_PART >= all }
     }
 
     /// Whether a limit could be exceeded at all, or is being shared out in this view.
