Check polls many at a time, space follows by the limit, give the leader a third of changes

Ten follows a second left six requests for everything else, each poll of a live job took one, and a grant of three changes waited most of a second; so polls were sent away with 503 and grants and rentals queued. Polls are now checked by comparing up to four times txn_ops stamps in one transaction without writes; only jobs it names are looked up. All follows together keep to a quarter of the requests. The leader has a third of the changes. Reads no longer wait behind changes that must wait.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -65,16 +65,30 @@
         self.queues[urgency as usize].push_back((now, writes, call));
     }
 
-    /// The next call that may go out now. A call that must wait holds back all less urgent ones.
+    /// Changes the rate of writes, when this controller's part of the limit does.
+    pub fn set_writes(&mut self, now: Micros, writes_per_s: f64) {
+        self.writes.refill(now);
+        self.writes.most *= writes_per_s / self.writes.rate;
+        self.writes.most = self.writes.most.max(1.0);
+        self.writes.rate = writes_per_s;
+    }
+
+    /// The next call that may go out now. A change that must wait holds back all less urgent changes,
+    /// but not the reads: users' questions must not wait for the record of completions.
     pub fn pop(&mut self, now: Micros) -> Option<T> {
         self.calls.refill(now);
         self.writes.refill(now);
+        let mut reads_only = false;
         for queue in &mut self.queues {
             let Some((_, writes, _)) = queue.front() else { continue };
             let cost = f64::from(*writes);
-            if !self.calls.affords(1.0) || !self.writes.affords(cost) {
+            if !self.calls.affords(1.0) {
                 return None;
             }
+            if cost > 0.0 && (reads_only || !self.writes.affords(cost)) {
+                reads_only = true;
+                continue;
+            }
             self.calls.has -= 1.0;
             self.writes.has -= cost;
             return queue.pop_front().map(|(_, _, call)| call);
@@ -126,4 +140,20 @@
         assert!(out.iter().filter(|i| *i % 2 == 1).count() <= 44);
         assert_eq!(budget.expire(Micros::from_secs(20), Micros::from_secs(5)).len(), 200 - out.len());
     }
+
+    /// Guards users' questions against a queue of changes that waits for its turn.
+    #[test]
+    fn reads_pass_changes_that_must_wait() {
+        let mut budget = Budget::new(100.0, 1.0, 1.0);
+        (0..5).for_each(|i| budget.push(Micros::ZERO, Urgency::Completion, 1, i));
+        budget.push(Micros::ZERO, Urgency::Rest, 1, 10);
+        budget.push(Micros::ZERO, Urgency::Rest, 0, 11);
+        let out: Vec<i32> = std::iter::from_fn(|| budget.pop(Micros::ZERO)).collect();
+        assert_eq!(out, [0], "a change went out before a more urgent one");
+        budget.clear();
+        budget.push(Micros::ZERO, Urgency::Completion, 1, 1);
+        budget.push(Micros::ZERO, Urgency::Rest, 0, 2);
+        let out: Vec<i32> = std::iter::from_fn(|| budget.pop(Micros::ZERO)).collect();
+        assert_eq!(out, [2]);
+    }
 }
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -1,12 +1,17 @@
 //! Users' requests. Any controller serves them: the state service decides, not the one asked.
 
+use std::collections::BTreeMap;
+
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, FinalRecord};
 use crate::coordination::{Answer, Controller, Phase, Purpose, RequestId};
 use crate::protocol::job::{Final, JobSpec, JobState};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::units::Micros;
 use crate::protocol::worker::TaskState;
 
+/// Least time between two checks of the jobs that users have asked about.
+const POLL_SPACING: Micros = Micros::from_millis(200);
 /// Requests that may wait for the state service before further ones are sent away.
 const MOST_WAITING: usize = 40;
 
@@ -111,7 +116,53 @@
         if self.phase != Phase::Active || !self.open_for_requests() {
             return self.answer(request, Answer::Later(1));
         }
-        self.look_live(request, job, false);
+        if self.jobs.contains_key(&job) {
+            self.polls.push((request, job));
+        } else {
+            self.look_live(request, job, false);
+        }
+    }
+
+    /// Asks the store whether the jobs that users have asked about are still live, many at a time: a
+    /// read for every poll would take more than this controller's part of the requests.
+    pub(super) fn check_polls(&mut self) {
+        if self.polls.is_empty() || self.now < self.polls_at {
+            return;
+        }
+        self.polls_at = self.now + POLL_SPACING;
+        let most = self.settings.params.state.txn_ops * 4;
+        let mut conditions: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut asked = 0;
+        for (_, job) in &self.polls {
+            if conditions.len() == most && !conditions.contains_key(job.as_str()) {
+                break;
+            }
+            // No key has this stamp: a job that has gone in the meantime is looked up.
+            let stamp = self.jobs.get(job).map_or(u64::MAX >> 1, |j| j.stamp);
+            conditions.insert(job, stamp);
+            asked += 1;
+        }
+        let conditions = conditions.into_iter().map(|(job, stamp)| Condition::new(records::live(job), stamp));
+        let transaction = Transaction { conditions: conditions.collect(), writes: Vec::new() };
+        let polls = self.polls.drain(..asked).collect();
+        self.store(Urgency::Rest, Purpose::CheckLive { polls }, StoreCall::Commit(transaction));
+    }
+
+    pub(super) fn checked_live(&mut self, polls: Vec<(RequestId, String)>, reply: StoreReply) {
+        for (request, job) in polls {
+            match &reply {
+                StoreReply::Committed { .. } => {
+                    let answer = self.live_answer(&job);
+                    self.answer(request, answer);
+                }
+                StoreReply::Conflict { failed } if failed.contains(&records::live(&job)) => {
+                    self.look_final(request, job);
+                }
+                // Nothing was said of the others: they are asked about again.
+                StoreReply::Conflict { .. } => self.polls.push((request, job)),
+                _ => self.answer(request, Answer::Later(1)),
+            }
+        }
     }
 
     pub(super) fn withdrawal(&mut self, request: RequestId, job: String) {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -20,6 +20,8 @@
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
+/// The leader's part of the changes that the store takes.
+const LEADERS_WRITES: f64 = 1.0 / 3.0;
 /// How often the leader says how the deployment stands.
 const DESCRIBE_EVERY: Micros = Micros::from_secs(10);
 /// The most that the blocks of one grant may take of a transaction's 64 KiB.
@@ -98,6 +100,13 @@
         } else if !mine {
             self.lead = None;
         }
+        // Grants and rentals are the leader's: where many controllers share the changes, an even part
+        // would not do for one grant a second.
+        let count = self.settings.everyone().len() as f64;
+        let leaders = (1.0 / count).max(LEADERS_WRITES.min(1.0));
+        let part = if self.lead.is_some() { leaders } else { (1.0 - leaders) / (count - 1.0).max(1.0) };
+        let all = self.settings.params.state.write_rps * 0.95;
+        self.calls.set_writes(self.now, all * part);
     }
 
     /// Calls for a round soon: something has changed. On a large deployment something always has,
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -247,6 +247,8 @@
         self.follow_at = None;
         self.loading.clear();
         self.forget_replica();
+        let polls = std::mem::take(&mut self.polls);
+        self.turn_polls_away(polls);
         for (purpose, _) in self.calls.clear() {
             self.turn_away(purpose);
         }
@@ -264,7 +266,14 @@
             | Purpose::LookLive { request, .. }
             | Purpose::LookFinal { request, .. }
             | Purpose::Withdraw { request, .. } => self.answer(request, super::Answer::Later(1)),
+            Purpose::CheckLive { polls } => self.turn_polls_away(polls),
             _ => {}
         }
     }
+
+    fn turn_polls_away(&mut self, polls: Vec<(super::RequestId, String)>) {
+        for (request, _) in polls {
+            self.answer(request, super::Answer::Later(1));
+        }
+    }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -125,6 +125,10 @@
         job: String,
         withdraw: bool,
     },
+    /// Are these jobs live?
+    CheckLive {
+        polls: Vec<(RequestId, String)>,
+    },
     LookFinal {
         request: RequestId,
         job: String,
@@ -264,6 +268,9 @@
     pub(crate) evicted: BTreeMap<String, Micros>,
     pub(crate) evict_at: Micros,
     pub(crate) unresolved: BTreeSet<String>,
+    /// Users' questions about jobs that are live as far as this controller knows.
+    pub(crate) polls: Vec<(RequestId, String)>,
+    pub(crate) polls_at: Micros,
     pub(crate) finals: FinalCache,
     pub(crate) lead: Option<leader::Leading>,
     pub(crate) lead_at: Micros,
@@ -328,6 +335,8 @@
             kept: BTreeMap::new(),
             reserved: Vec::new(),
             unresolved: BTreeSet::new(),
+            polls: Vec::new(),
+            polls_at: Micros::ZERO,
             finals: FinalCache::new(tuning.final_cache),
             lead: None,
             lead_at: Micros::ZERO,
@@ -399,6 +408,7 @@
         if self.phase != Phase::Active {
             return;
         }
+        self.check_polls();
         self.machines_tick();
         self.leader_tick();
         self.place_due = true;
@@ -458,6 +468,7 @@
             Purpose::Grant | Purpose::Quota => self.granted(reply),
             Purpose::Accept { request, spec } => self.accept_replied(request, *spec, reply),
             Purpose::LookLive { request, job, withdraw } => self.looked_live(request, job, withdraw, reply),
+            Purpose::CheckLive { polls } => self.checked_live(polls, reply),
             Purpose::LookFinal { request, job } => self.looked_final(request, job, reply),
             Purpose::Withdraw { request, job, tasks } => self.withdraw_replied(request, job, tasks, reply),
             Purpose::Complete { job } => self.complete_replied(job, reply),
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -13,8 +13,10 @@
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Cause, TaskId, TaskState};
 
-/// Least time between two requests for changes: the store's limit on requests is shared by all.
+/// Least time between two requests for changes.
 const FOLLOW_SPACING: Micros = Micros::from_millis(100);
+/// What part of the store's limit on requests all controllers together use to follow its changes.
+const FOLLOW_SHARE: f64 = 0.25;
 
 /// A stable hash, the same in every controller: FNV-1a with a final mix.
 fn hash(parts: [&str; 2]) -> u64 {
@@ -82,7 +84,8 @@
         if self.phase != Phase::Active {
             return;
         }
-        self.follow_at = Some(self.now + FOLLOW_SPACING);
+        let each = self.settings.everyone().len() as f64 / (self.settings.params.state.rps * FOLLOW_SHARE);
+        self.follow_at = Some(self.now + FOLLOW_SPACING.max(Micros::from_secs_f64(each)));
         match reply {
             StoreReply::News(news) => {
                 for change in news.changes {
