Evict only a controller that its workers have left too

Now at least two workers must have turned away from the controller, been sent back, and turned away again. A new test has all controllers refuse each other for 25 s, and then one end.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -34,6 +34,7 @@
             // Sending a worker to a controller that has gone would only send it round in circles.
             let owner = machine.row.owner.clone();
             let there = owner != self.me() && self.nodes.get(&owner) == Some(&machine.row.node);
+            self.turned_here(&owner, &report.machine);
             self.report_heard(&report.machine);
             return self.answer(request, Answer::Elsewhere(there.then_some(owner)));
         }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -4,12 +4,16 @@
 //! A block is good for as long as the registration it was granted to, so the lease is also the
 //! blocks' lease, and renewing it costs no change of the store.
 
+use std::collections::BTreeMap;
+
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, LeaderRecord, NodeRecord};
 use crate::coordination::{Controller, DRIFT, Lease, Phase, Purpose};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::Micros;
 
+/// How long it counts that a worker has turned from its owner to another controller.
+const TURNED: Micros = Micros::from_secs(5);
 const RETRY: Micros = Micros::from_millis(400);
 
 impl Controller {
@@ -92,11 +96,39 @@
         refused.map(|(m, _)| m.clone()).filter(|m| self.nodes.contains_key(m) && silent(m)).collect()
     }
 
+    /// Controllers whose workers have turned to this one, were sent back, and came again. Where a
+    /// packet filter stands between the controllers alone, all refuse each other though none has
+    /// ended: its workers still have it.
+    pub(super) fn deserted(&self) -> Vec<String> {
+        let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
+        for ((owner, _), (_, again)) in &self.turned {
+            *counts.entry(owner).or_default() += usize::from(self.now.since(*again) < TURNED);
+        }
+        counts.into_iter().filter(|(_, n)| *n >= 2).map(|(owner, _)| owner.clone()).collect()
+    }
+
+    /// Notes that a worker has come here instead of to its owner. The first time it may only not have
+    /// known whose it is.
+    pub(super) fn turned_here(&mut self, owner: &str, machine: &str) {
+        let now = self.now;
+        self.turned.retain(|_, (first, again)| now.since((*first).max(*again)) < TURNED);
+        let key = (owner.to_owned(), machine.to_owned());
+        self.turned
+            .entry(key)
+            .and_modify(|(first, again)| {
+                if now.since(*first) > Micros::from_millis(500) {
+                    *again = now;
+                }
+            })
+            .or_insert((now, Micros::ZERO));
+    }
+
     /// Ends the registration of a controller that, as far as all others can tell, has ended.
     ///
-    /// A refusal proves nothing, and nothing here relies on it: the evicted one's transactions fail,
-    /// its machines are fenced by new tokens, and unreachable ones wait out its lease. Not twice in
-    /// half a minute, so that a mistake does not repeat itself.
+    /// A refusal proves nothing, so its workers must have turned away as well. Even then nothing relies
+    /// on it: the evicted one's transactions fail, its machines are fenced by new tokens, and
+    /// unreachable ones wait out its lease. Not twice in half a minute, so that a mistake does not
+    /// repeat itself.
     fn evict_suspects(&mut self) {
         let suspects = self.suspects();
         if suspects.is_empty() || !self.entitled() || self.now < self.evict_at {
@@ -104,12 +136,17 @@
         }
         let me = self.settings.member.clone();
         let others = || self.nodes.keys().filter(|m| !suspects.contains(*m));
-        let agreed = |member: &String| {
-            others().filter(|m| **m != me).all(|m| {
+        let words = || {
+            others().filter(|m| **m != me).map(|m| {
                 let peer = self.peers.get(m).filter(|p| self.now.since(p.heard) < Micros::from_secs(3));
-                peer.and_then(|p| p.status.as_ref()).is_some_and(|s| s.unheard.contains(member))
+                peer.and_then(|p| p.status.as_ref())
             })
         };
+        let agreed = |member: &String| {
+            words().all(|s| s.is_some_and(|s| s.unheard.contains(member)))
+                && (self.deserted().contains(member)
+                    || words().flatten().any(|s| s.deserted.contains(member)))
+        };
         let pause = Micros::from_secs(30);
         let fresh = |m: &String| self.evicted.get(m).is_none_or(|at| self.now.since(*at) > pause);
         let Some((leader, _, leader_stamp)) = self.leader.clone() else { return };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -264,6 +264,9 @@
     pub(crate) reserved: Vec<(String, String)>,
     /// Controllers that refuse connections: since when, and how often.
     pub(crate) refusals: BTreeMap<String, (Micros, u32)>,
+    /// Workers that have turned to this controller instead of their owner: when first, and when again
+    /// after they had been sent back. By owner and machine.
+    pub(crate) turned: BTreeMap<(String, String), (Micros, Micros)>,
     /// When controllers were last evicted.
     pub(crate) evicted: BTreeMap<String, Micros>,
     pub(crate) evict_at: Micros,
@@ -329,6 +332,7 @@
             types_at: None,
             peers: BTreeMap::new(),
             refusals: BTreeMap::new(),
+            turned: BTreeMap::new(),
             evicted: BTreeMap::new(),
             evict_at: Micros::ZERO,
             quick: BTreeMap::new(),
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -54,6 +54,7 @@
         self.taking_over = false;
         self.retired.clear();
         self.refusals.clear();
+        self.turned.clear();
         self.evicted.clear();
     }
 
@@ -382,6 +383,7 @@
             machines: machines.collect(),
             stops: self.foreign_stops(),
             unheard: self.suspects(),
+            deserted: self.deserted(),
         }
     }
 
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -292,6 +292,8 @@
     store_down: Micros,
     refused_node: Option<(usize, Micros)>,
     apart: Option<(usize, usize, Micros)>,
+    /// Until when no controller reaches another.
+    all_apart: Micros,
     cloud_down: Micros,
     charters: BTreeMap<String, Vec<String>>,
     next_machine: u32,
@@ -358,6 +360,7 @@
             store_down: Micros::ZERO,
             refused_node: None,
             apart: None,
+            all_apart: Micros::ZERO,
             cloud_down: Micros::ZERO,
             charters: BTreeMap::new(),
             next_machine: 0,
@@ -422,12 +425,15 @@
         }
     }
 
+    fn cut(&self, from: usize, to: usize) -> bool {
+        let pair = |(a, b, until)| self.now < until && ((a, b) == (from, to) || (b, a) == (from, to));
+        self.now < self.all_apart || self.apart.is_some_and(pair)
+    }
+
     fn send(&mut self, from: usize, to: Option<String>, message: PeerMessage) {
         for other in 0..3 {
             let named = to.as_ref().is_none_or(|t| *t == self.settings[other].member);
-            let cut = self.apart.is_some_and(|(a, b, until)| {
-                self.now < until && ((a, b) == (from, other) || (b, a) == (from, other))
-            });
+            let cut = self.cut(from, other);
             if other == from || !named || cut || self.lost() {
                 continue;
             }
@@ -442,10 +448,7 @@
     /// A controller that has ended refuses connections; now and then a packet filter does so too.
     fn refusals(&mut self, node: usize) {
         for other in (0..3).filter(|o| *o != node) {
-            let cut = self.apart.is_some_and(|(a, b, until)| {
-                self.now < until && ((a, b) == (node, other) || (b, a) == (node, other))
-            });
-            if cut || self.controllers[other].is_none() {
+            if self.cut(node, other) || self.controllers[other].is_none() {
                 let member = self.settings[other].member.clone();
                 self.tell(node, Event::Refused(member));
             }
@@ -1296,3 +1299,30 @@
     // Idle ones are returned in the meantime, so they are counted as they are granted.
     assert_eq!(granted.len(), 320, "machines that nobody was granted");
 }
+
+fn evictions(world: &World) -> usize {
+    world.store.log.iter().filter(|(_, key, _)| key.starts_with(records::EVICTED)).count()
+}
+
+/// Guards against the storm in which controllers that a packet filter kept from each other all took
+/// the others for ended, and evicted each other as fast as they came back.
+#[test]
+fn controllers_are_evicted_for_having_ended_but_not_for_being_refused() {
+    let mut world = World::new(10, Trouble::default());
+    for _ in 0..12 {
+        world.add_machine("c16", "east", false);
+    }
+    for n in 0..8 {
+        let job = JobSpec { shape: Shape::Array, zone: None, gpus: 0.0, ..world.random_job(n) };
+        world.submit(JobSpec { tasks: 60, ..job });
+    }
+    world.run(Micros::from_secs(25));
+    world.all_apart = Micros::from_secs(50);
+    world.run(Micros::from_secs(55));
+    assert_eq!(evictions(&world), 0, "evicted for a packet filter's refusals");
+    assert!(world.controllers.iter().flatten().all(|c| c.counters.rejoins == 0));
+    world.controllers[1] = None;
+    world.lives[1] += 1;
+    world.run(Micros::from_secs(62));
+    assert_eq!(evictions(&world), 1, "an ended controller kept its jobs for the rest of its lease");
+}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -59,6 +59,8 @@
     pub stops: Vec<StopRequest>,
     /// Controllers that refuse the sender's connections and have fallen silent.
     pub unheard: Vec<String>,
+    /// Controllers whose workers have turned to the sender.
+    pub deserted: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
