Send the rentals of a round at once, and count what has been rented but not recorded

Cause: one request of fifty machines a sort and round, and none while machines waited to be recorded, so that a fleet of 300 was asked for over 25 s. A new leader listens 2 s, not 4.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -13,6 +13,10 @@
 
 /// The most machines one request asks for.
 const MOST_RENTED: u64 = 50;
+/// The most requests for one sort of machine in one round.
+const REQUESTS: u64 = 4;
+/// How long a new leader hears what there is before it rents.
+const HEAR_FIRST: Micros = Micros::from_secs(2);
 /// How much waiting work, in seconds of a machine's time, is worth renting one more.
 const WORTH: f64 = 90.0;
 /// What fetching an image adds to a task's time, about, in seconds.
@@ -277,11 +281,9 @@
     pub(super) fn size_fleet(&mut self) {
         let now = self.now;
         let Some(lead) = &self.lead else { return };
-        if self.types.is_empty() || lead.granting || !lead.fleet.arrived.is_empty() {
-            return;
-        }
         // A new leader first hears what there is.
-        if now.since(lead.since) < Micros::from_secs(4)
+        if self.types.is_empty()
+            || now.since(lead.since) < HEAR_FIRST
             || now.since(lead.fleet.rented_at) < Micros::from_millis(500)
         {
             return;
@@ -296,6 +298,10 @@
             let supply = self.types.get(&r.kind).map(MachineType::supply).unwrap_or_default();
             coming.extend((0..r.count).map(|_| (r.kind.clone(), r.zone.clone(), r.spot, supply)));
         }
+        for r in lead.fleet.arrived.iter().filter(|r| !self.machines.contains_key(&r.machine)) {
+            let supply = self.types.get(&r.kind).map(MachineType::supply).unwrap_or_default();
+            coming.push((r.kind.clone(), r.zone.clone(), r.spot, supply));
+        }
         let mut wanted: BTreeMap<(String, String, bool), f64> = BTreeMap::new();
         let mut turnover = BTreeMap::new();
         for u in &lead.unplaced {
@@ -343,8 +349,13 @@
         }
         let mut asked = false;
         for ((kind, zone, spot), machines) in wanted {
-            let count = (machines.ceil() as u64).clamp(1, MOST_RENTED) as u32;
-            asked |= self.rent(kind, zone, spot, count);
+            // Many are asked for at once: the requests of one round do not wait for each other.
+            let mut left = (machines.ceil() as u64).clamp(1, MOST_RENTED * REQUESTS);
+            while left > 0 {
+                let count = left.min(MOST_RENTED);
+                asked |= self.rent(kind.clone(), zone.clone(), spot, count as u32);
+                left -= count;
+            }
         }
         if asked && let Some(lead) = &mut self.lead {
             lead.fleet.rented_at = now;
@@ -489,10 +500,6 @@
     fn rent(&mut self, kind: String, zone: String, spot: bool, count: u32) -> bool {
         let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
         let Some(lead) = &mut self.lead else { return false };
-        let busy = lead.fleet.open.values().any(|r| r.kind == kind && r.zone == zone && r.spot == spot);
-        if busy {
-            return false;
-        }
         lead.fleet.named += 1;
         let request = format!("r-{leader_stamp}-{}", lead.fleet.named);
         let rental = Rental { request: request.clone(), kind, zone, spot, count };
