Return machines that nobody has heard since they changed hands

Cause: after a controller's end, all jobs taken over wait until every machine of the former owner is accounted for. The leader now returns such a machine once its owner hears at least three quarters of its others and a late report is overdue; the cloud's 200 settles what ran there. An owner that hears few of its machines is cut off itself, and one that another controller hears is rescued as before.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -15,6 +15,8 @@
 const MOST_RENTED: u64 = 50;
 /// The most requests for one sort of machine in one round.
 const REQUESTS: u64 = 4;
+/// How long beyond a late report a machine may stay unheard after it has changed hands.
+const UNHEARD: Micros = Micros::from_secs(3);
 /// How long a new leader hears what there is before it rents.
 const HEAR_FIRST: Micros = Micros::from_secs(2);
 /// How much waiting work, in seconds of a machine's time, is worth renting one more.
@@ -178,6 +180,38 @@
         }
     }
 
+    /// Machines that nobody has heard since they changed hands, though their owner hears its others:
+    /// most likely they are gone. All jobs taken over wait for them, for as long as the leases of the
+    /// former owner and the worker together; the cloud's word that they are returned settles it at once.
+    fn unreachable(&self) -> BTreeSet<String> {
+        // Reports come up to a quarter late, and a worker looks for its new owner a second at a time.
+        let limit = self.report_every.mul_f64(1.25) + UNHEARD;
+        let mut found = BTreeSet::new();
+        let Some(lead) = &self.lead else { return found };
+        for (member, node) in &self.nodes {
+            let word = self.peers.get(member).map_or(Micros::MAX, |p| self.now.since(p.heard));
+            if member != self.me() && word > Micros::from_secs(3) {
+                continue;
+            }
+            let held = |m: &&Machine| m.row.owner == *member && m.row.node == *node && !m.row.returning;
+            let all = self.machines.values().filter(held).count();
+            let heard = |name: &str| lead.heard.get(name).is_some_and(|h| self.now.since(h.1) < limit);
+            let lost: Vec<&String> = self
+                .machines
+                .iter()
+                .filter(|(name, m)| {
+                    held(m) && !m.resolved && self.now.since(m.granted) > limit && !heard(name)
+                })
+                .map(|(name, _)| name)
+                .collect();
+            // An owner that hears few of its machines is cut off itself.
+            if lost.len() * 4 <= all.max(8) {
+                found.extend(lost.into_iter().cloned());
+            }
+        }
+        found
+    }
+
     fn drop_unwanted(&mut self) {
         // Where teams are guaranteed capacity, work that waits for a boot costs more than idling.
         let patience =
@@ -189,11 +223,13 @@
         if lead.granting || self.now.since(lead.since) < Micros::from_secs(4) {
             return;
         }
+        let unreachable = self.unreachable();
         for (name, m) in &self.machines {
             if m.row.returning {
                 continue;
             }
-            match self.unwanted(name, m, idle_most) {
+            let why = unreachable.contains(name).then_some("unreachable");
+            match why.or_else(|| self.unwanted(name, m, idle_most)) {
                 Some("idle") => idle_names.push(name.clone()),
                 Some(why) => names.push((name.clone(), why)),
                 None => {}
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -171,6 +171,8 @@
     pub shard: usize,
     /// Revision of the grant.
     pub stamp: u64,
+    /// When this controller learned of the grant.
+    pub granted: Micros,
     pub since: Micros,
     pub supply: Resources,
     pub session: u64,
@@ -212,6 +214,7 @@
             row,
             shard,
             stamp,
+            granted: now,
             since: now,
             supply,
             session: 0,
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -213,6 +213,9 @@
             self.machines.remove(gone);
             self.unresolved.remove(gone);
         }
+        if before.iter().any(|n| !names.contains(n)) {
+            self.check_adoption();
+        }
         for row in rows {
             let supply = self.types.get(&row.kind).map(|t| t.supply()).unwrap_or_default();
             let now = self.now;
@@ -227,6 +230,7 @@
             tracing::debug!(machine = row.machine, owner = row.owner, token = row.token, "granted");
             machine.row = row;
             machine.stamp = stamp;
+            machine.granted = now;
             machine.resolved = false;
             machine.spoken = 0;
             machine.heard = None;
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -1326,3 +1326,33 @@
     world.run(Micros::from_secs(62));
     assert_eq!(evictions(&world), 1, "an ended controller kept its jobs for the rest of its lease");
 }
+
+/// Guards against a takeover that waits for one machine that has died, with all the jobs taken over,
+/// until every lease that could matter has run out.
+#[test]
+fn a_takeover_does_not_wait_long_for_machines_that_are_gone() {
+    let mut world = World::new(11, Trouble::default());
+    for _ in 0..12 {
+        world.add_machine("c16", "east", false);
+    }
+    for n in 0..8 {
+        let job = JobSpec { shape: Shape::Array, zone: None, gpus: 0.0, ..world.random_job(n) };
+        world.submit(JobSpec { tasks: 200, team: "green".into(), ..job });
+    }
+    world.run(Micros::from_secs(25));
+    let held = |c: &Controller| c.machines.iter().find(|(_, m)| c.owns(m) && !m.idle()).map(|m| m.0.clone());
+    let busy = |n: &usize| Some((*n, held(world.controllers[*n].as_ref()?)?));
+    let (n, name) = (0..3).find_map(|n| busy(&n)).unwrap();
+    // Gone, though the cloud still lists it as running.
+    world.workers.get_mut(&name).unwrap().cut_until = Micros::MAX;
+    world.controllers[n] = None;
+    world.lives[n] += 1;
+    let mut taken = false;
+    for second in 26..=42 {
+        world.run(Micros::from_secs(second));
+        taken |= world.controllers.iter().flatten().any(|c| c.taking_over);
+    }
+    assert!(taken, "nobody has taken jobs over");
+    assert!(!world.workers.contains_key(&name), "the dead machine was not returned");
+    assert!(world.controllers.iter().flatten().all(|c| !c.taking_over), "{}", world.describe("j-000000"));
+}
