Weigh jobs that can still meet an aim far above others of their rank

Cause: on a full fleet volumes were shared nearly evenly, so that most jobs were late together; and the processors of accelerator machines counted twice, for their own work and for plain work.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -20,6 +20,8 @@
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
+/// How many times the weight of its rank a job of one task counts that can still meet its aim.
+const URGENT: f64 = 300.0;
 /// The leader's part of the changes that the store takes.
 const LEADERS_WRITES: f64 = 1.0 / 3.0;
 /// How often the leader says how the deployment stands.
@@ -384,13 +386,23 @@
     pub(super) fn volumes(&self) -> Vec<(String, u32)> {
         let machines = || self.machines.values().filter(|m| self.serving(m) || self.coming(m));
         let total = machines().fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        // What accelerators' work takes of their machines' processors is not there for other work.
+        let (cpu, gpu) = self
+            .jobs
+            .values()
+            .filter(|j| j.spec.gpus > 0.0)
+            .map(|j| (j.spec.need(), u64::from(j.unfinished())))
+            .fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n));
+        let with_cards = machines()
+            .map(|m| (m.supply.gpu * cpu).checked_div(gpu).unwrap_or(0).min(m.supply.cpu))
+            .sum::<u64>();
         // One of each sort stands for all: a job's share depends on what a machine is, not on which.
         let sorts: BTreeMap<_, &Machine> =
             machines().map(|m| ((&m.row.kind, &m.row.zone, m.row.spot, m.supply.cpu), m)).collect();
         let sorts: Vec<&Machine> = sorts.into_values().collect();
         let mut volumes = Vec::new();
         for accelerated in [false, true] {
-            let supply = if accelerated { total.gpu } else { total.cpu };
+            let supply = if accelerated { total.gpu } else { total.cpu.saturating_sub(with_cards) };
             let mut jobs: Vec<(&String, &Job)> = self
                 .jobs
                 .iter()
@@ -423,7 +435,7 @@
         volumes
     }
 
-    /// Within a rank, between 1 and 8: jobs that can still be done in the time their class aims at
+    /// Within a rank, between 1 and 300: jobs that can still be done in the time their class aims at
     /// come before those that cannot, and of these the ones with little left before those with much.
     ///
     /// With equal priorities a full pool is shared so that all jobs finish late together.
@@ -435,12 +447,18 @@
             .iter()
             .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(job.spec.class.as_str()));
         let age = self.now.since(job.since).as_secs_f64();
-        let mut due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
-        if due.any(|within| within - age > job.spec.estimate_s * 0.5) {
-            2.0 + 6.0 / f64::from(job.unfinished().max(1)).sqrt()
-        } else {
-            1.0
-        }
+        let due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
+        let (mut feasible, mut missed) = (false, 0);
+        for within in due {
+            let in_time = within - age > job.spec.estimate_s * 0.6;
+            feasible |= in_time;
+            missed += i32::from(!in_time);
+        }
+        if !feasible {
+            return 1.0;
+        }
+        // A later aim counts for less while others can still meet their first.
+        1.0 + URGENT / f64::from(job.unfinished().max(1)) / 4f64.powi(missed)
     }
 
     /// Lowers demands to the same fair fill of each team's limit.
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -35,9 +35,9 @@
     pub fn weight(self) -> f64 {
         match self {
             Priority::Low => 1.0,
-            Priority::Normal => 16.0,
-            Priority::High => 256.0,
-            Priority::Production => 4096.0,
+            Priority::Normal => 1e3,
+            Priority::High => 1e6,
+            Priority::Production => 1e9,
         }
     }
 }
