Leave dear machines idle where cheap ones do, so that they can be returned

A job that may use cheap machines takes an idle ordinary one last, and a dearer sort than the cheapest must earn more by waiting work before more of it is rented. Kept for the order of preference, which is what an operator would expect.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -460,6 +460,7 @@
             }
         }
         let mut options = Vec::new();
+        let mut cheapest = f64::INFINITY;
         for t in self.types.values().filter(|t| type_ok(&t.name) && need.fits(t.supply())) {
             if spec.gpus == 0.0
                 && t.gpus > 0.0
@@ -473,19 +474,23 @@
                         continue;
                     }
                     let key = (t.name.clone(), zone.clone(), spot);
-                    if self.refused(&key) {
-                        continue;
-                    }
                     let price = if spot { t.spot_price } else { t.price };
                     let slots = need.times_in(t.supply()).max(1);
-                    options.push((price / slots as f64, key, slots));
+                    cheapest = cheapest.min(price / slots as f64);
+                    if !self.refused(&key) {
+                        options.push((price / slots as f64, key, slots));
+                    }
                 }
             }
         }
-        let Some((_, key, slots)) = options.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        let Some((price, key, slots)) = options.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)) else {
+            return;
+        };
         // Short tasks take turns: a machine is worth renting for a good stretch of work.
         let turns =
             if spec.floor() > 1 || spec.estimate_s <= 0.0 { 1.0 } else { (WORTH / spec.estimate_s).max(1.0) };
+        // A dearer machine than the cheapest that would do, of which there are no more, must earn more.
+        let turns = if turns > 1.0 { turns * (price / cheapest).max(1.0).sqrt() } else { turns };
         *wanted.entry(key).or_default() += count as f64 / slots as f64 / turns;
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -18,6 +18,13 @@
 /// Accelerators count as spare while more than one in so many is free.
 const SPARE_PART: u64 = 4;
 
+/// Whether a task would keep an idle machine that costs more than it need: one with accelerators that
+/// it does not use, or an ordinary one where a cheap one would do. Left idle, it can be returned.
+pub(super) fn wakes_dear(spec: &JobSpec, machine: &Machine) -> bool {
+    let dear = (spec.gpus == 0.0 && machine.supply.gpu > 0) || (spec.spot && !machine.row.spot);
+    dear && machine.idle()
+}
+
 /// What plain work leaves of accelerator machines to the accelerators' own.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Cards {
@@ -399,9 +406,8 @@
                 && only.is_none_or(|z| z == m.row.zone)
                 && !self.reserved_for_another(&rooms.reserved, spec, m)
             {
-                let dear = need.gpu == 0 && m.supply.gpu > 0;
                 let fetches = !m.images.contains(&spec.image);
-                options.push(((dear && m.idle(), fetches, room.cpu - need.cpu), name, *room, m));
+                options.push(((wakes_dear(spec, m), fetches, room.cpu - need.cpu), name, *room, m));
             }
         }
         options.sort_unstable_by_key(|(key, name, ..)| (*key, *name));
