--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -73,6 +73,10 @@
         self.writes.rate = writes_per_s;
     }
 
+    pub fn writes_per_s(&self) -> f64 {
+        self.writes.rate
+    }
+
     /// The next call that may go out now. A change that must wait holds back all less urgent changes,
     /// but not the reads: users' questions must not wait for the record of completions.
     pub fn pop(&mut self, now: Micros) -> Option<T> {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -25,6 +25,8 @@
     pub writing: bool,
     pub completing: bool,
     pub retry_at: Micros,
+    /// When its progress may next be recorded.
+    pub progress_at: Micros,
     /// Where its tasks are, or may be. While machines change hands a task may be suspected in several
     /// places, and leaving one of them must not make it forgotten in another.
     pub on: BTreeMap<u32, Vec<String>>,
@@ -55,6 +57,7 @@
             writing: false,
             completing: false,
             retry_at: Micros::ZERO,
+            progress_at: Micros::ZERO,
             on: BTreeMap::new(),
             placed: 0,
             volume: 0,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -15,6 +15,8 @@
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
 
+/// What part of a controller's changes records the progress of its jobs, at most.
+const PROGRESS_SHARE: f64 = 0.3;
 /// Accelerators count as spare while more than one in so many is free.
 const SPARE_PART: u64 = 4;
 
@@ -573,11 +575,18 @@
         self.flush_at = self.now + Micros::from_millis(100);
         let me = self.settings.member.clone();
         let now = self.now;
+        // Nothing is lost while what has ended waits for its record, so many jobs take turns.
+        let dirty = self.jobs.values().filter(|j| j.owner.as_deref() == Some(&me) && !j.dirty.is_empty());
+        let turn = dirty.count() as f64 / (self.calls.writes_per_s() * PROGRESS_SHARE);
+        let spacing = Micros::from_secs_f64(turn).max(Micros::from_millis(1_500));
         let mine: Vec<String> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.owner.as_deref() == Some(&me) && !j.completing && j.retry_at <= now)
-            .filter(|(_, j)| j.unfinished() == 0 || !j.dirty.is_empty() && !j.writing)
+            .filter(|(_, j)| j.owner.as_deref() == Some(&me) && !j.completing)
+            .filter(|(_, j)| match j.unfinished() {
+                0 => j.retry_at <= now,
+                _ => !j.dirty.is_empty() && !j.writing && j.progress_at <= now,
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in mine {
@@ -602,7 +611,7 @@
                 );
             } else if let Some(chunk) = job.dirty.pop_first() {
                 job.writing = true;
-                job.retry_at = now + Micros::from_millis(1_500);
+                job.progress_at = now + spacing;
                 let value = job.done.chunk(chunk);
                 let key = records::done_chunk(&id, chunk);
                 let known = self.done_keys.get(&id).and_then(|c| c.get(&chunk)).copied().unwrap_or(0);
@@ -611,7 +620,7 @@
                     writes: vec![Write::put(key, value)],
                 };
                 self.store(
-                    Urgency::Completion,
+                    Urgency::Rest,
                     Purpose::Progress { job: id, chunk },
                     StoreCall::Commit(transaction),
                 );
