Weigh feasible jobs eight times, small ones more; leases outlast a longer state outage

The lease is now three quarters of what a cancellation leaves beside the worker's lease, 15 s at most.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -20,8 +20,10 @@
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
-/// How many times the weight of its rank a job of one task counts that can still meet its aim.
-const URGENT: f64 = 300.0;
+/// How much more than others of its rank a job counts that can still meet its aim, and how much more
+/// again if it has but one task left.
+const URGENT: f64 = 8.0;
+const SMALL: f64 = 6.0;
 /// The leader's part of the changes that the store takes.
 const LEADERS_WRITES: f64 = 1.0 / 3.0;
 /// How often the leader says how the deployment stands.
@@ -66,6 +68,17 @@
     pub zones: ZonesLeft,
 }
 
+/// How a round stands while it plans: the room that is left, who holds or is to hold each machine, which
+/// have just moved, and where room is held back.
+#[derive(Clone, Copy)]
+struct Floor<'b, 'a> {
+    rooms: &'b BTreeMap<&'a str, Resources>,
+    held: &'b BTreeMap<&'a str, String>,
+    moved: &'b BTreeSet<String>,
+    reserved: &'b [(String, String)],
+    cards: Cards,
+}
+
 /// A machine's room for tasks of a gang, in the order in which it is taken.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Offer<'a> {
@@ -435,7 +448,7 @@
         volumes
     }
 
-    /// Within a rank, between 1 and 300: jobs that can still be done in the time their class aims at
+    /// Within a rank, between 1 and 57: jobs that can still be done in the time their class aims at
     /// come before those that cannot, and of these the ones with little left before those with much.
     ///
     /// With equal priorities a full pool is shared so that all jobs finish late together.
@@ -458,7 +471,7 @@
             return 1.0;
         }
         // A later aim counts for less while others can still meet their first.
-        1.0 + URGENT / f64::from(job.unfinished().max(1)) / 4f64.powi(missed)
+        1.0 + URGENT * (1.0 + SMALL / f64::from(job.unfinished().max(1)).sqrt()) / 2f64.powi(missed)
     }
 
     /// Lowers demands to the same fair fill of each team's limit.
@@ -613,7 +626,8 @@
         let whole = |j: &Job| j.is_gang() && j.on.is_empty() && !j.spec.spread;
         for (id, job, short, zones) in order.iter_mut().filter(|(_, j, ..)| whole(j)) {
             let Some(owner) = &job.owner else { continue };
-            let places = self.gang_places(id, job, owner, &rooms, &held, &moved, &reserved, cards);
+            let floor = Floor { rooms: &rooms, held: &held, moved: &moved, reserved: &reserved, cards };
+            let places = self.gang_places(id, job, owner, floor);
             let Ok(places) = places else {
                 if let Err(Some(zone)) = places
                     && reserved.len() < self.zones_reservable()
@@ -732,29 +746,24 @@
 
     /// Where all tasks of a gang fit: where its owner has the room already, or else in the zone that
     /// it leaves least of. If they fit nowhere, the zone that has most of what they need.
-    #[allow(clippy::too_many_arguments)]
     fn gang_places<'a>(
         &self,
         id: &str,
         job: &Job,
         owner: &String,
-        rooms: &BTreeMap<&'a str, Resources>,
-        held: &BTreeMap<&str, String>,
-        moved: &BTreeSet<String>,
-        reserved: &[(String, String)],
-        cards: Cards,
+        floor: Floor<'_, 'a>,
     ) -> Result<Vec<(&'a str, u64)>, Option<String>> {
         let spec = &job.spec;
         let size = u64::from(spec.tasks);
         let mut zones: BTreeMap<&str, Vec<Offer<'a>>> = BTreeMap::new();
-        for (name, room) in rooms.iter().filter(|(_, room)| spec.need().fits(**room)) {
+        for (name, room) in floor.rooms.iter().filter(|(_, room)| spec.need().fits(**room)) {
             let Some(m) = self.machines.get(*name) else { continue };
-            let foreign = held.get(name) != Some(owner);
-            if !allows(spec, m) || foreign && moved.contains(*name) {
+            let foreign = floor.held.get(name) != Some(owner);
+            if !allows(spec, m) || foreign && floor.moved.contains(*name) {
                 continue;
             }
-            let n = self.slots(spec, name, m, *room, cards);
-            if n > 0 && !self.reserved_for_another(reserved, spec, m) {
+            let n = self.slots(spec, name, m, *room, floor.cards);
+            if n > 0 && !self.reserved_for_another(floor.reserved, spec, m) {
                 let zone = if spec.one_zone { m.row.zone.as_str() } else { "" };
                 zones.entry(zone).or_default().push(Offer {
                     dear: m.supply.gpu > 0 && spec.gpus == 0.0,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -244,7 +244,7 @@
         if tuning.block_lease_s > 0.0 {
             return Micros::from_secs_f64(tuning.block_lease_s);
         }
-        Micros::from_secs_f64(((w.cancel_s - w.lease_s) * 0.5).clamp(4.0, 10.0))
+        Micros::from_secs_f64(((w.cancel_s - w.lease_s) * 0.75).clamp(4.0, 15.0))
     }
 }
 
