--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -422,7 +422,7 @@
                 .filter(|(_, j)| (j.spec.gpus > 0.0) == accelerated && j.unfinished() > 0)
                 .collect();
             // Running jobs keep their floors; the others are admitted by priority, then arrival.
-            jobs.sort_by_key(|(_, j)| (j.on.is_empty(), std::cmp::Reverse(j.spec.priority), j.stamp));
+            jobs.sort_by_key(|(_, j)| (j.on.is_empty(), self.precedence(j)));
             let mut sizes: BTreeMap<(u64, u64, u64, bool), f64> = BTreeMap::new();
             let mut claims = Vec::new();
             let mut left = supply as f64;
@@ -448,7 +448,7 @@
         volumes
     }
 
-    /// Within a rank, between 1 and 57: jobs that can still be done in the time their class aims at
+    /// Within a rank, between 1 and 56: jobs that can still be done in the time their class aims at
     /// come before those that cannot, and of these the ones with little left before those with much.
     ///
     /// With equal priorities a full pool is shared so that all jobs finish late together.
@@ -460,18 +460,12 @@
             .iter()
             .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(job.spec.class.as_str()));
         let age = self.now.since(job.since).as_secs_f64();
-        let due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
-        let (mut feasible, mut missed) = (false, 0);
-        for within in due {
-            let in_time = within - age > job.spec.estimate_s * 0.6;
-            feasible |= in_time;
-            missed += i32::from(!in_time);
-        }
-        if !feasible {
-            return 1.0;
+        let mut due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
+        if due.any(|within| within - age > job.spec.estimate_s * 0.6) {
+            URGENT * (1.0 + SMALL / f64::from(job.unfinished().max(1)).sqrt())
+        } else {
+            1.0
         }
-        // A later aim counts for less while others can still meet their first.
-        1.0 + URGENT * (1.0 + SMALL / f64::from(job.unfinished().max(1)).sqrt()) / 2f64.powi(missed)
     }
 
     /// Lowers demands to the same fair fill of each team's limit.
@@ -616,7 +610,7 @@
             })
             .filter(|(_, j, short, _)| *short > 0 && j.held_until <= now)
             .collect();
-        order.sort_by_key(|(_, j, ..)| (std::cmp::Reverse(j.spec.priority), j.stamp));
+        order.sort_by_key(|(_, j, ..)| self.precedence(j));
         let mut moves: BTreeMap<String, String> = BTreeMap::new();
         let mut unplaced = Vec::new();
         let mut promised = BTreeSet::new();
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -15,6 +15,8 @@
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
 
+/// How many times its class's longest aimed wait a gang may have waited before it comes first.
+const WAITED: f64 = 3.0;
 /// What part of a controller's changes records the progress of its jobs, at most.
 const PROGRESS_SHARE: f64 = 0.3;
 /// Accelerators count as spare while more than one in so many is free.
@@ -74,6 +76,10 @@
         && spec.need().fits(machine.supply)
 }
 
+/// Rank, turn within the rank, size and arrival: the least comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Precedence(u8, u8, u32, u64);
+
 /// What makes an owner prefer one machine to another: the least first.
 type Preference = (bool, bool, u64);
 
@@ -112,15 +118,41 @@
         if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
     }
 
+    /// Who comes first: by rank, then by arrival. Of gangs, those that can still start in the time their
+    /// class aims at come first, small ones before large ones, for in a full fleet one large gang would
+    /// make many small ones late; one that has waited several times as long comes before all.
+    pub(super) fn precedence(&self, job: &Job) -> Precedence {
+        let rank = u8::MAX - job.spec.priority as u8;
+        if !job.is_gang() {
+            return Precedence(rank, 1, 0, job.stamp);
+        }
+        let age = self.now.since(job.since).as_secs_f64();
+        let objectives = &self.settings.params.objectives;
+        let aims = objectives
+            .iter()
+            .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(job.spec.class.as_str()))
+            .filter_map(|o| o.within_s);
+        let (missed, last) = aims.fold((0, 0.0), |(missed, last): (u8, f64), within| {
+            (missed + u8::from(age > within), last.max(within))
+        });
+        if last == 0.0 {
+            Precedence(rank, 1, 0, job.stamp)
+        } else if age > last * WAITED {
+            Precedence(rank, 0, 0, job.stamp)
+        } else {
+            Precedence(rank, 1 + missed, job.spec.tasks, job.stamp)
+        }
+    }
+
     /// Plans starts for all own jobs, the most urgent first.
     pub(super) fn place(&mut self) {
         if !self.entitled() || !self.placing {
             return;
         }
-        let mut order: Vec<(u8, u64, String)> = Vec::new();
+        let mut order: Vec<(Precedence, String)> = Vec::new();
         for (id, job) in &self.jobs {
             if self.places(job) && job.held_until <= self.now && job.placed() < self.wanted(job) {
-                order.push((u8::MAX - job.spec.priority as u8, job.stamp, id.clone()));
+                order.push((self.precedence(job), id.clone()));
             }
         }
         if order.is_empty() {
@@ -134,7 +166,7 @@
             Rooms { free, cards: self.cards(self.machines.values().filter(|m| self.usable(m))), reserved };
         let mut planned = 0;
         let mut held_back: Option<u8> = None;
-        for (rank, _, id) in order {
+        for (Precedence(rank, ..), id) in order {
             if planned >= MOST_STARTS {
                 break;
             }
