Rent for all waiting tasks, not only for those within their job's volume

Volumes sum to the machines there are, so on a full fleet every job has what its volume says, and nothing was left over to rent for.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -4,7 +4,7 @@
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
-use crate::coordination::model::{Job, Machine};
+use crate::coordination::model::Machine;
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
 use crate::protocol::job::JobSpec;
@@ -352,14 +352,16 @@
                 &mut wanted,
             );
         }
-        // Jobs that were not admitted wait for machines too.
-        let waits = |j: &&Job| j.volume == 0 && j.on.is_empty() && j.unfinished() > 0 && j.held_until <= now;
-        for (id, job) in &self.jobs {
-            if waits(&job) {
+        // A full fleet gives every job a volume that it can place. What is beyond their volumes waits for
+        // machines too, and so do jobs that were not admitted.
+        let counted: BTreeSet<&String> = lead.unplaced.iter().map(|u| &u.job).collect();
+        for (id, job) in self.jobs.iter().filter(|(id, j)| !counted.contains(id) && j.held_until <= now) {
+            let waiting = job.unfinished().saturating_sub(job.placed());
+            if waiting > 0 && (job.spec.floor() == 1 || job.on.is_empty()) {
                 let zones = self.zones_left(id, job, &BTreeMap::new());
                 self.want_for(
                     &job.spec,
-                    u64::from(job.unfinished()),
+                    u64::from(waiting),
                     zones.as_ref(),
                     &mut coming,
                     &mut turnover,
