Keep a lone controller's changes, a burst after a change of rate, and young processes from a guess

Found on reading: with one controller the part left to followers was nothing; a small rate lost its burst for good; in its first five seconds a process took a worker's first visit for a second.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 struct Bucket {
     rate: f64,
+    burst_s: f64,
     most: f64,
     has: f64,
     at: Micros,
@@ -30,7 +31,7 @@
 impl Bucket {
     fn new(rate: f64, burst_s: f64) -> Self {
         let most = (rate * burst_s).max(1.0);
-        Bucket { rate, most, has: most, at: Micros::ZERO }
+        Bucket { rate, burst_s, most, has: most, at: Micros::ZERO }
     }
 
     fn refill(&mut self, now: Micros) {
@@ -68,9 +69,10 @@
     /// Changes the rate of writes, when this controller's part of the limit does.
     pub fn set_writes(&mut self, now: Micros, writes_per_s: f64) {
         self.writes.refill(now);
-        self.writes.most *= writes_per_s / self.writes.rate;
-        self.writes.most = self.writes.most.max(1.0);
-        self.writes.rate = writes_per_s;
+        let has = self.writes.has;
+        self.writes = Bucket::new(writes_per_s, self.writes.burst_s);
+        self.writes.has = has.min(self.writes.most);
+        self.writes.at = now;
     }
 
     pub fn writes_per_s(&self) -> f64 {
@@ -160,4 +162,15 @@
         let out: Vec<i32> = std::iter::from_fn(|| budget.pop(Micros::ZERO)).collect();
         assert_eq!(out, [2]);
     }
+
+    /// A controller's part of the changes falls and rises with the leadership.
+    #[test]
+    fn a_changed_rate_of_writes_keeps_its_burst() {
+        let mut budget = Budget::new(1e3, 8.0, 1.0);
+        budget.set_writes(Micros::ZERO, 0.5);
+        budget.set_writes(Micros::ZERO, 8.0);
+        (0..20).for_each(|i| budget.push(Micros::ZERO, Urgency::Rest, 1, i));
+        assert_eq!(std::iter::from_fn(|| budget.pop(Micros::ZERO)).count(), 1);
+        assert_eq!(std::iter::from_fn(|| budget.pop(Micros::from_secs(9))).count(), 8);
+    }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -118,8 +118,9 @@
         // Grants and rentals are the leader's: where many controllers share the changes, an even part
         // would not do for one grant a second.
         let count = self.settings.everyone().len() as f64;
-        let leaders = (1.0 / count).max(LEADERS_WRITES.min(1.0));
-        let part = if self.lead.is_some() { leaders } else { (1.0 - leaders) / (count - 1.0).max(1.0) };
+        let leaders = LEADERS_WRITES.max(1.0 / count);
+        let leads = self.lead.is_some() || count == 1.0;
+        let part = if leads { leaders } else { (1.0 - leaders) / (count - 1.0) };
         let all = self.settings.params.state.write_rps * 0.95;
         self.calls.set_writes(self.now, all * part);
     }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -102,7 +102,8 @@
     pub(super) fn deserted(&self) -> Vec<String> {
         let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
         for ((owner, _), (_, again)) in &self.turned {
-            *counts.entry(owner).or_default() += usize::from(self.now.since(*again) < TURNED);
+            let lately = *again > Micros::ZERO && self.now.since(*again) < TURNED;
+            *counts.entry(owner).or_default() += usize::from(lately);
         }
         let held = |owner: &String| self.machines.values().filter(|m| m.row.owner == *owner).count();
         let enough = |owner: &String, n: usize| n >= held(owner).clamp(1, 2);
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -1414,3 +1414,18 @@
         assert!(passes < 12.0, "{passes} passes a second over all waiting jobs");
     }
 }
+
+/// Guards the sharing of the store's limits where there is nobody to share them with.
+#[test]
+fn a_single_controller_does_all_the_work_also_after_it_has_ended() {
+    let mut world = World::sized(12, Trouble::default(), Size { controllers: 1, machines: 6 });
+    world.run(Micros::from_secs(5));
+    for n in 0..4 {
+        let job = JobSpec { shape: Shape::Array, zone: None, gpus: 0.0, ..world.random_job(n) };
+        world.submit(JobSpec { tasks: 20, team: "green".into(), ..job });
+    }
+    world.run(Micros::from_secs(30));
+    world.crash(0);
+    world.run(Micros::from_secs(200));
+    assert!(world.jobs.values().all(|j| j.told_final.is_some()), "{}", world.describe("j-000000"));
+}
