--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -13,6 +13,9 @@
 /// Orders in one answer: with the longest ids they stay far below 64 KiB.
 const MOST_ORDERS: usize = 300;
 
+/// How long after a grant a worker may still not have found its owner.
+const SETTLED: Micros = Micros::from_secs(10);
+
 /// Errors in a row, of more than one job, after which a machine is set apart.
 const FAULTY: u32 = 3;
 
@@ -34,7 +37,9 @@
             // Sending a worker to a controller that has gone would only send it round in circles.
             let owner = machine.row.owner.clone();
             let there = owner != self.me() && self.nodes.get(&owner) == Some(&machine.row.node);
-            self.turned_here(&owner, &report.machine);
+            // One that its owner has had for a while knows whose it is.
+            let settled = machine.resolved && self.now.since(machine.granted) > SETTLED;
+            self.turned_here(&owner, &report.machine, settled);
             self.report_heard(&report.machine);
             return self.answer(request, Answer::Elsewhere(there.then_some(owner)));
         }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -96,7 +96,7 @@
         refused.map(|(m, _)| m.clone()).filter(|m| self.nodes.contains_key(m) && silent(m)).collect()
     }
 
-    /// Controllers whose workers have turned to this one, were sent back, and came again. Where a
+    /// Controllers whose workers have turned to this one, though they knew whose they were. Where a
     /// packet filter stands between the controllers alone, all refuse each other though none has
     /// ended: its workers still have it.
     pub(super) fn deserted(&self) -> Vec<String> {
@@ -110,9 +110,9 @@
         counts.into_iter().filter(|(o, n)| enough(o, *n)).map(|(owner, _)| owner.clone()).collect()
     }
 
-    /// Notes that a worker has come here instead of to its owner. The first time it may only not have
-    /// known whose it is.
-    pub(super) fn turned_here(&mut self, owner: &str, machine: &str) {
+    /// Notes that a worker has come here instead of to its owner. One that has not settled may only
+    /// not have known whose it is, until it is sent back and comes again.
+    pub(super) fn turned_here(&mut self, owner: &str, machine: &str, settled: bool) {
         let now = self.now;
         self.turned.retain(|_, (first, again)| now.since((*first).max(*again)) < TURNED);
         let key = (owner.to_owned(), machine.to_owned());
@@ -123,7 +123,7 @@
                     *again = now;
                 }
             })
-            .or_insert((now, Micros::ZERO));
+            .or_insert((now, if settled { now } else { Micros::ZERO }));
     }
 
     /// Ends the registration of a controller that, as far as all others can tell, has ended.
