Take no machine for silent on knowledge older than its lease

A machine now counts as silent only as of the last answered request for the store's changes, whatever the lengths of the leases.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -490,7 +490,9 @@
             if !machine.resolved {
                 last = last.max(former);
             }
-            if self.now.since(last) > silence {
+            // Another may have been granted the machine, and answer it, since this controller last heard
+            // from the store: only as of then is its own silence the worker's.
+            if self.followed_at.since(last) > silence {
                 lapsed.push(name);
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -240,6 +240,8 @@
     pub(crate) applied: u64,
     pub(crate) loading: Vec<crate::protocol::store::Entry>,
     pub(crate) follow_at: Option<Micros>,
+    /// When the last request for changes that was answered was sent: the replica is as new as that.
+    pub(crate) followed_at: Micros,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) nodes: BTreeMap<String, u64>,
     pub(crate) leader: Option<(String, u64, u64)>,
@@ -318,6 +320,7 @@
             applied: 0,
             loading: Vec::new(),
             follow_at: None,
+            followed_at: Micros::ZERO,
             jobs: BTreeMap::new(),
             nodes: BTreeMap::new(),
             leader: None,
@@ -471,7 +474,7 @@
             | Purpose::Renew
             | Purpose::Evict
             | Purpose::Lead => self.membership_replied(purpose, sent, reply),
-            Purpose::Follow => self.followed(reply),
+            Purpose::Follow => self.followed(sent, reply),
             Purpose::Grant | Purpose::Quota => self.granted(reply),
             Purpose::Accept { request, spec } => self.accept_replied(request, *spec, reply),
             Purpose::LookLive { request, job, withdraw } => self.looked_live(request, job, withdraw, reply),
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -81,7 +81,7 @@
         self.status_due = Some(self.now);
     }
 
-    pub(super) fn followed(&mut self, reply: StoreReply) {
+    pub(super) fn followed(&mut self, sent: Micros, reply: StoreReply) {
         if self.phase != Phase::Active {
             return;
         }
@@ -89,6 +89,7 @@
         self.follow_at = Some(self.now + FOLLOW_SPACING.max(Micros::from_secs_f64(each)));
         match reply {
             StoreReply::News(news) => {
+                self.followed_at = self.followed_at.max(sent);
                 for change in news.changes {
                     match change {
                         Change::Put { key, value, stamp } => self.put(&key, value, stamp),
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -1429,3 +1429,25 @@
     world.run(Micros::from_secs(200));
     assert!(world.jobs.values().all(|j| j.told_final.is_some()), "{}", world.describe("j-000000"));
 }
+
+/// Guards against a task run twice: in a state outage an owner took a machine for silent that had been
+/// granted to another just before, which the owner could not know, and started its tasks elsewhere.
+#[test]
+fn no_machine_is_taken_for_silent_on_old_knowledge() {
+    let mut world = World::new(13, Trouble::default());
+    for n in 0..4 {
+        let job = JobSpec { shape: Shape::Array, zone: None, gpus: 0.0, ..world.random_job(n) };
+        world.submit(JobSpec { tasks: 400, team: "green".into(), ..job });
+    }
+    world.run(Micros::from_secs(30));
+    let lapses = |w: &World| w.controllers.iter().flatten().map(|c| c.counters.lapses).sum::<u64>();
+    assert_eq!(lapses(&world), 0);
+    let busy = world.workers.iter().find(|(_, w)| !w.tasks.is_empty()).unwrap().0.clone();
+    world.workers.get_mut(&busy).unwrap().cut_until = Micros::from_secs(90);
+    world.store_down = Micros::from_secs(50);
+    world.store.regain(Micros::from_secs(50));
+    world.run(Micros::from_secs(50));
+    assert_eq!(lapses(&world), 0, "concluded without a word from the store");
+    world.run(Micros::from_secs(60));
+    assert!(lapses(&world) > 0, "never concluded");
+}
