Keep guarantees warm only as far as teams use them; services are no turnover

Cause: ten teams are guaranteed 6,000 accelerators together, more than there is to rent; the leader rented every ordinary machine for them, and none of the cheap ones that arrays may use.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -4,12 +4,13 @@
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
-use crate::coordination::model::Machine;
+use crate::coordination::model::{Machine, TaskOn};
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
-use crate::protocol::job::JobSpec;
+use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
+use crate::protocol::worker::TaskId;
 
 /// The most machines one request asks for.
 const MOST_RENTED: u64 = 50;
@@ -24,7 +25,9 @@
 /// What fetching an image adds to a task's time, about, in seconds.
 const FETCH: f64 = 10.0;
 /// How many times longer an idle machine is kept where teams have guarantees.
-const GUARANTEED_PATIENCE: f64 = 20.0;
+const GUARANTEED_PATIENCE: f64 = 10.0;
+/// How long a team's greatest demand counts for what is kept there for its guarantee, about.
+const REMEMBERED: f64 = 300.0;
 /// How long there must be no live job before guaranteed capacity is given back too.
 const QUIET: Micros = Micros::from_secs(20);
 /// How often the machine types and prices are read again.
@@ -47,6 +50,9 @@
     pub returned: BTreeMap<String, Micros>,
     pub failed: BTreeSet<String>,
     pub rented_at: Micros,
+    /// What each team has lately asked for at most: by jobs that need ordinary machines, and by all.
+    pub asked: BTreeMap<String, (Resources, Resources)>,
+    pub asked_at: Micros,
     /// Since when there has been no live job.
     pub quiet_since: Option<Micros>,
 }
@@ -214,8 +220,7 @@
 
     fn drop_unwanted(&mut self) {
         // Where teams are guaranteed capacity, work that waits for a boot costs more than idling.
-        let patience =
-            if self.guaranteed() == (0, 0) || self.nothing_to_do() { 1.0 } else { GUARANTEED_PATIENCE };
+        let patience = if !self.any_guarantee() || self.nothing_to_do() { 1.0 } else { GUARANTEED_PATIENCE };
         let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s * patience);
         let mut idle_names = Vec::new();
         let mut names = Vec::new();
@@ -267,12 +272,14 @@
     }
 
     /// Of idle machines, those that neither a guarantee nor a class that must start at once needs.
-    fn not_needed(&self, idle: Vec<String>) -> Vec<String> {
+    fn not_needed(&self, mut idle: Vec<String>) -> Vec<String> {
         if self.nothing_to_do() {
             return idle;
         }
-        let (cpu, gpu) = self.guaranteed();
-        let mut has = self.standing_supply();
+        let (ordinary, all) = self.guaranteed();
+        let (mut has_ordinary, mut has_all) = self.standing_supply();
+        // The dearest go first.
+        idle.sort_by_key(|name| self.machines[name].row.spot);
         let mut names = Vec::new();
         for name in idle {
             let m = &self.machines[&name];
@@ -283,13 +290,19 @@
             if self.kept.contains_key(&name) {
                 continue;
             }
-            let less = has.minus(m.supply);
-            let short = (cpu > 0 && m.supply.gpu == 0 && less.cpu < cpu)
-                || (gpu > 0 && m.supply.gpu > 0 && less.gpu < gpu);
-            if !short || m.row.spot {
-                has = less;
-                names.push(name);
+            let short = |goal: Resources, has: Resources| {
+                let less = has.minus(m.supply);
+                (goal.cpu > 0 && m.supply.gpu == 0 && less.cpu < goal.cpu)
+                    || (goal.gpu > 0 && m.supply.gpu > 0 && less.gpu < goal.gpu)
+            };
+            if short(all, has_all) || !m.row.spot && short(ordinary, has_ordinary) {
+                continue;
             }
+            has_all = has_all.minus(m.supply);
+            if !m.row.spot {
+                has_ordinary = has_ordinary.minus(m.supply);
+            }
+            names.push(name);
         }
         names
     }
@@ -300,22 +313,63 @@
         quiet.is_some_and(|at| self.now.since(at) > QUIET)
     }
 
-    /// What all teams together are guaranteed.
-    fn guaranteed(&self) -> (u64, u64) {
-        let teams = &self.settings.params.teams;
-        let sum = |f: fn(&crate::settings::Team) -> f64| (teams.iter().map(f).sum::<f64>() * 1e3) as u64;
-        (sum(|t| t.cpus), sum(|t| t.gpus))
+    fn any_guarantee(&self) -> bool {
+        self.settings.params.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0)
+    }
+
+    /// Notes what the teams ask for. A greatest demand fades, so that what was kept for it is given back.
+    fn note_demand(&mut self) {
+        if !self.any_guarantee() {
+            return;
+        }
+        let mut now_asked: BTreeMap<&str, (Resources, Resources)> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let wants = job.spec.need().times(u64::from(job.unfinished()));
+            let (ordinary, all) = now_asked.entry(&job.spec.team).or_default();
+            *all = all.plus(wants);
+            if !job.spec.spot {
+                *ordinary = ordinary.plus(wants);
+            }
+        }
+        let now_asked: BTreeMap<String, _> = now_asked.into_iter().map(|(t, a)| (t.to_owned(), a)).collect();
+        let now = self.now;
+        let Some(lead) = &mut self.lead else { return };
+        let fade = (-now.since(lead.fleet.asked_at).as_secs_f64() / REMEMBERED).exp();
+        lead.fleet.asked_at = now;
+        for (ordinary, all) in lead.fleet.asked.values_mut() {
+            (*ordinary, *all) = (ordinary.scaled(fade), all.scaled(fade));
+        }
+        for (team, (ordinary, all)) in now_asked {
+            let most = lead.fleet.asked.entry(team).or_default();
+            *most = (most.0.max(ordinary), most.1.max(all));
+        }
+    }
+
+    /// What is to be there for the guarantees: of ordinary machines, and of all together. Guarantees may
+    /// add up to more than there is to rent, so each counts only as far as its team makes use of it.
+    fn guaranteed(&self) -> (Resources, Resources) {
+        let mut sum = (Resources::default(), Resources::default());
+        let Some(lead) = &self.lead else { return sum };
+        for team in &self.settings.params.teams {
+            let Some((ordinary, all)) = lead.fleet.asked.get(&team.name) else { continue };
+            let most = Resources::need(team.cpus, team.gpus, 0.0);
+            sum = (sum.0.plus(ordinary.min(most)), sum.1.plus(all.min(most)));
+        }
+        sum
     }
 
-    /// Ordinary machines, up or coming: what a guarantee can be met with.
-    fn standing_supply(&self) -> Resources {
-        let stay = self.machines.values().filter(|m| !m.row.spot && !m.row.returning && !m.apart);
-        stay.fold(Resources::default(), |sum, m| sum.plus(m.supply))
+    /// Machines up or coming that can be counted on: ordinary ones, and all.
+    fn standing_supply(&self) -> (Resources, Resources) {
+        let stay = self.machines.values().filter(|m| !m.row.returning && !m.apart && !m.notice);
+        stay.fold(Default::default(), |(ordinary, all): (Resources, Resources), m| {
+            (if m.row.spot { ordinary } else { ordinary.plus(m.supply) }, all.plus(m.supply))
+        })
     }
 
     /// Decides what to rent for the work that found no room.
     pub(super) fn size_fleet(&mut self) {
         let now = self.now;
+        self.note_demand();
         let Some(lead) = &self.lead else { return };
         // A new leader first hears what there is.
         if self.types.is_empty()
@@ -440,8 +494,7 @@
             if type_ok(kind) && zone_ok(zone) && (spec.spot || !*spot) {
                 let n = need.times_in(*room).min(count);
                 count -= n;
-                *room =
-                    room.minus(Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n });
+                *room = room.minus(need.times(n));
             }
         }
         if count == 0 {
@@ -496,45 +549,56 @@
         *wanted.entry(key).or_default() += count as f64 / slots as f64 / turns;
     }
 
-    /// Places that tasks of the same kind of need hold now, and will leave.
+    /// Places that tasks of the same kind of need hold now, and will leave. Services do not.
     fn places_taken(&self, spec: &JobSpec) -> usize {
         let need = spec.need();
         let serving = self.machines.values().filter(|m| m.up && !m.row.returning && !m.apart && !m.notice);
-        let alike = |t: &&crate::coordination::model::TaskOn| {
-            !t.ended() && (t.need.gpu > 0) == (need.gpu > 0) && t.need.cpu * 2 >= need.cpu
+        let stays = |id: &TaskId| self.jobs.get(&id.job).is_some_and(|j| j.spec.shape == Shape::Service);
+        let alike = |(id, t): &(&TaskId, &TaskOn)| {
+            !t.ended() && (t.need.gpu > 0) == (need.gpu > 0) && t.need.cpu * 2 >= need.cpu && !stays(id)
         };
-        serving.map(|m| m.tasks.values().filter(alike).count()).sum()
+        serving.map(|m| m.tasks.iter().filter(alike).count()).sum()
     }
 
     /// Machines that the teams' guarantees need: capacity that must be there before work comes.
     fn want_guarantee(&self, wanted: &mut BTreeMap<(String, String, bool), f64>) {
-        let (cpu, gpu) = self.guaranteed();
+        let goals = self.guaranteed();
         let mut has = self.standing_supply();
-        let open = self.lead.iter().flat_map(|l| l.fleet.open.values()).filter(|r| !r.spot);
-        for r in open {
+        for r in self.lead.iter().flat_map(|l| l.fleet.open.values()) {
             if let Some(t) = self.types.get(&r.kind) {
-                for _ in 0..r.count {
-                    has = has.plus(t.supply());
+                let coming = t.supply().times(u64::from(r.count));
+                has.1 = has.1.plus(coming);
+                if !r.spot {
+                    has.0 = has.0.plus(coming);
                 }
             }
         }
         for accelerated in [false, true] {
-            let (goal, there) = if accelerated { (gpu, has.gpu) } else { (cpu, has.cpu) };
-            if there >= goal {
-                continue;
-            }
-            let amount = |t: &MachineType| if accelerated { t.supply().gpu } else { t.supply().cpu };
-            let best = self
-                .types
-                .values()
-                .filter(|t| (t.gpus > 0.0) == accelerated)
-                .flat_map(|t| t.zones.iter().map(move |z| (t, (t.name.clone(), z.clone(), false))))
-                .filter(|(_, key)| !self.refused(key))
-                .min_by(|a, b| (a.0.price / amount(a.0) as f64).total_cmp(&(b.0.price / amount(b.0) as f64)));
-            if let Some((t, key)) = best {
-                let machines = (goal - there).div_ceil(amount(t).max(1)).min(4) as f64;
-                let entry = wanted.entry(key).or_default();
-                *entry = entry.max(machines);
+            let of = |r: Resources| if accelerated { r.gpu } else { r.cpu };
+            for (spot, goal, there) in [(false, goals.0, has.0), (true, goals.1, has.1)] {
+                let lacking = of(goal).saturating_sub(of(there));
+                if lacking == 0 {
+                    continue;
+                }
+                let best = self
+                    .types
+                    .values()
+                    .filter(|t| (t.gpus > 0.0) == accelerated)
+                    .flat_map(|t| t.zones.iter().map(move |z| (t, z)))
+                    .flat_map(|(t, z)| {
+                        let ordinary = (t, t.price, (t.name.clone(), z.clone(), false));
+                        let cheap = (t, t.spot_price, (t.name.clone(), z.clone(), true));
+                        spot.then_some(cheap).into_iter().chain([ordinary])
+                    })
+                    .filter(|(_, _, key)| !self.refused(key))
+                    .min_by(|a, b| {
+                        (a.1 / of(a.0.supply()) as f64).total_cmp(&(b.1 / of(b.0.supply()) as f64))
+                    });
+                if let Some((t, _, key)) = best {
+                    let machines = lacking.div_ceil(of(t.supply()).max(1)).min(4) as f64;
+                    let entry = wanted.entry(key).or_default();
+                    *entry = entry.max(machines);
+                }
             }
         }
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -635,7 +635,7 @@
             };
             let need = job.spec.need();
             for (name, n) in places {
-                let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
+                let used = need.times(n);
                 rooms.insert(name, rooms[name].minus(used));
                 promised.insert(name.to_owned());
                 if held.get(name) != Some(owner) {
@@ -696,7 +696,7 @@
                     if let Some(here) = here {
                         *here -= n;
                     }
-                    let used = Resources { cpu: need.cpu * n, gpu: need.gpu * n, memory: need.memory * n };
+                    let used = need.times(n);
                     rooms.insert(name, rooms[name].minus(used));
                     promised.insert(name.to_owned());
                     if pass == 1 {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -294,7 +294,7 @@
         }
         let total = spec.need();
         let n = u64::from(spec.tasks);
-        let whole = Resources { cpu: total.cpu * n, gpu: total.gpu * n, memory: total.memory * n };
+        let whole = total.times(n);
         if !(Resources { memory: 0, ..whole }).fits(self.team_room(&spec)) {
             return 0;
         }
--- a/src/protocol/units.rs
+++ b/src/protocol/units.rs
@@ -88,15 +88,33 @@
     }
 
     pub fn plus(self, o: Resources) -> Resources {
-        Resources { cpu: self.cpu + o.cpu, gpu: self.gpu + o.gpu, memory: self.memory + o.memory }
+        self.each(o, |a, b| a + b)
     }
 
     pub fn minus(self, o: Resources) -> Resources {
-        Resources {
-            cpu: self.cpu.saturating_sub(o.cpu),
-            gpu: self.gpu.saturating_sub(o.gpu),
-            memory: self.memory.saturating_sub(o.memory),
-        }
+        self.each(o, u64::saturating_sub)
+    }
+
+    pub fn times(self, n: u64) -> Resources {
+        self.each(Resources { cpu: n, gpu: n, memory: n }, |a, n| a * n)
+    }
+
+    pub fn scaled(self, factor: f64) -> Resources {
+        self.each(self, |a, _| (a as f64 * factor) as u64)
+    }
+
+    /// The smaller of each amount.
+    pub fn min(self, o: Resources) -> Resources {
+        self.each(o, u64::min)
+    }
+
+    /// The larger of each amount.
+    pub fn max(self, o: Resources) -> Resources {
+        self.each(o, u64::max)
+    }
+
+    fn each(self, o: Resources, f: impl Fn(u64, u64) -> u64) -> Resources {
+        Resources { cpu: f(self.cpu, o.cpu), gpu: f(self.gpu, o.gpu), memory: f(self.memory, o.memory) }
     }
 
     /// How many times this need goes into `room`.
