Services in a hurry stop arrays at once; stops go directly to the workers

Cause: volumes count machines that are coming, so arrays never exceed theirs and services waited 60 s for boots beside arrays that could give way.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -96,6 +96,7 @@
                 need: known.map(|k| k.need).unwrap_or_else(|| self.need_of(&id.job)),
                 pending: None,
                 stop: same.and_then(|k| k.stop),
+                told: same.is_some_and(|k| k.told),
                 since: same.map_or(now, |k| k.since),
             };
             seen.insert(id, on);
@@ -315,8 +316,8 @@
         self.drop_planned(name, |id| !ours.contains(&id.job));
     }
 
-    /// Sends what is planned straight to the workers, rather than with the answers to their next
-    /// reports, and asks machines that have just been granted how they stand.
+    /// Sends what is planned, and what is to be stopped, straight to the workers, rather than with the
+    /// answers to their next reports, and asks machines that have just been granted how they stand.
     pub(super) fn speak(&mut self) {
         if !self.entitled() || !self.placing {
             return;
@@ -335,6 +336,18 @@
                 if m.session_at.is_none() || m.heard.is_none_or(|at| now.since(at) > recent) {
                     continue;
                 }
+                // Room is made before it is used. A stop that arrives late finds its attempt gone.
+                for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
+                    let grace =
+                        t.stop.filter(|_| !t.told && !t.ended() && t.pending != Some(Pending::Planned));
+                    if let Some(grace) = grace.filter(|g| t.state != TaskState::Saving || *g == Micros::ZERO)
+                    {
+                        t.told = true;
+                        self.counters.stops += 1;
+                        let (task, grace_s) = (id.text(), grace.as_secs_f64());
+                        orders.push(Order::Stop { task, attempt: t.attempt, grace_s });
+                    }
+                }
                 for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
                     if t.pending == Some(Pending::Planned) && t.stop.is_none() {
                         t.pending = Some(Pending::Direct { session, token });
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -158,6 +158,8 @@
     pub pending: Option<Pending>,
     /// Wanted gone: with this much time to save.
     pub stop: Option<Micros>,
+    /// That has been said to the worker directly; the answers to its reports repeat it.
+    pub told: bool,
     pub since: Micros,
 }
 
@@ -255,6 +257,12 @@
         used.fold(self.supply, |room, t| room.minus(t.need))
     }
 
+    /// The room there will be once what is being stopped has gone.
+    pub fn free_soon(&self) -> Resources {
+        let used = self.tasks.values().filter(|t| !t.ended() && t.stop.is_none());
+        used.fold(self.supply, |room, t| room.minus(t.need))
+    }
+
     pub fn idle(&self) -> bool {
         self.tasks.values().all(TaskOn::ended)
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -86,6 +86,8 @@
 /// Room on the machines that an owner may use, during one pass.
 struct Rooms {
     free: BTreeMap<String, Resources>,
+    /// What there will be once all that is being stopped has gone, less what has been counted on.
+    soon: BTreeMap<String, Resources>,
     cards: Cards,
     reserved: Vec<(String, String)>,
 }
@@ -93,8 +95,10 @@
 impl Rooms {
     fn take(&mut self, names: &[String], need: Resources) {
         for name in names {
-            if let Some(room) = self.free.get_mut(name) {
-                *room = room.minus(need);
+            for rooms in [&mut self.free, &mut self.soon] {
+                if let Some(room) = rooms.get_mut(name) {
+                    *room = room.minus(need);
+                }
             }
         }
     }
@@ -159,11 +163,16 @@
             return;
         }
         order.sort();
-        let usable = self.machines.iter().filter(|(_, m)| self.usable(m));
-        let free = usable.map(|(name, m)| (name.clone(), m.free())).collect();
+        let usable = || self.machines.iter().filter(|(_, m)| self.usable(m));
+        let free = usable().map(|(name, m)| (name.clone(), m.free())).collect();
+        let soon = usable().map(|(name, m)| (name.clone(), m.free_soon())).collect();
         let reserved = if self.leader_silent() { Vec::new() } else { self.reserved.clone() };
-        let mut rooms =
-            Rooms { free, cards: self.cards(self.machines.values().filter(|m| self.usable(m))), reserved };
+        let mut rooms = Rooms {
+            free,
+            soon,
+            cards: self.cards(self.machines.values().filter(|m| self.usable(m))),
+            reserved,
+        };
         let mut planned = 0;
         let mut held_back: Option<u8> = None;
         for (Precedence(rank, ..), id) in order {
@@ -182,6 +191,9 @@
                 if gang { self.place_gang(&id, &mut rooms) } else { self.place_array(&id, &mut rooms) };
             planned += started;
             let short = self.jobs.get(&id).is_some_and(|j| j.placed() < self.wanted(j));
+            if short && !gang {
+                self.make_room(&id, &mut rooms);
+            }
             if short && held_back.is_none() {
                 held_back = Some(rank);
             }
@@ -282,6 +294,73 @@
         starts.len()
     }
 
+    /// Stops tasks of lower rank for a job whose class must start sooner than a machine boots: the latest
+    /// begun, of arrays, on own machines, most of all where the job's image is.
+    fn make_room(&mut self, id: &str, rooms: &mut Rooms) {
+        let quick = |j: &&Job| self.is_quick(&j.spec.class) && !j.spec.one_zone;
+        let Some(job) = self.jobs.get(id).filter(quick) else { return };
+        let spec = job.spec.clone();
+        let need = spec.need();
+        let short = u64::from(self.wanted(job).saturating_sub(job.placed()));
+        let mut short = short.min(need.times_in(self.team_room(&spec)));
+        let mut zones = self.zone_counts(id);
+        let most = spec.tasks.div_ceil(2);
+        let yields = |t: &TaskId| {
+            let other = self.jobs.get(&t.job).map(|j| &j.spec);
+            other.is_some_and(|o| o.priority < spec.priority && o.shape == Shape::Array)
+        };
+        let mut options: Vec<(bool, u64, String)> = Vec::new();
+        for name in rooms.soon.keys() {
+            let Some(m) = self.machines.get(name).filter(|m| allows(&spec, m)) else { continue };
+            let lower = m.tasks.iter().filter(|(i, t)| !t.ended() && t.stop.is_none() && yields(i)).count();
+            if lower > 0 || need.fits(rooms.soon[name]) {
+                options.push((!m.images.contains(&spec.image), lower as u64, name.clone()));
+            }
+        }
+        options.sort();
+        let mut stops: Vec<(String, TaskId)> = Vec::new();
+        for (_, _, name) in options {
+            let m = &self.machines[&name];
+            let here = zones.entry(m.row.zone.clone()).or_default();
+            let mut lower: Vec<(Micros, &TaskId, Resources)> = m
+                .tasks
+                .iter()
+                .filter(|(i, t)| !t.ended() && t.stop.is_none() && yields(i))
+                .map(|(i, t)| (t.since, i, t.need))
+                .collect();
+            lower.sort_by_key(|(since, task, _)| (*since, *task));
+            let mut room = rooms.soon[&name];
+            while short > 0 && (!spec.spread || *here < most) {
+                let mut taken = Vec::new();
+                let mut with = room;
+                while !need.fits(with)
+                    && let Some((_, task, frees)) = lower.pop()
+                {
+                    with = with.plus(frees);
+                    taken.push(task.clone());
+                }
+                if !need.fits(with) {
+                    break;
+                }
+                room = with.minus(need);
+                (*here, short) = (*here + 1, short - 1);
+                stops.extend(taken.into_iter().map(|t| (name.clone(), t)));
+            }
+            rooms.soon.insert(name, room);
+            if short == 0 {
+                break;
+            }
+        }
+        for (name, task) in stops {
+            let grace =
+                self.jobs.get(&task.job).map_or(Micros::ZERO, |j| j.spec.save() + Micros::from_secs(1));
+            if let Some(t) = self.machines.get_mut(&name).and_then(|m| m.tasks.get_mut(&task)) {
+                t.stop = Some(grace);
+            }
+            self.drop_planned(&name, |t| *t == task);
+        }
+    }
+
     /// Starts all tasks of a gang, or none. No task of an earlier attempt may be left.
     fn place_gang(&mut self, id: &str, rooms: &mut Rooms) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
@@ -399,6 +478,7 @@
             need: self.need_of(id),
             pending: Some(Pending::Planned),
             stop: None,
+            told: false,
             since: self.now,
         };
         if let Some(machine) = self.machines.get_mut(name) {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -61,10 +61,18 @@
     /// A job is over. Its tasks count against its team's limit until they are seen gone.
     pub(super) fn retire(&mut self, id: &str) -> Option<Job> {
         let job = self.jobs.remove(id)?;
-        // What has not been sent must not be: the job's user may have been told that it is over.
-        for name in job.on.values().flatten() {
-            self.drop_planned(name, |t| t.job == id);
+        // What has not been sent must not be: the job's user may have been told that it is over. What
+        // runs is ended at once, rather than with the next report's answer: its room is wanted.
+        for (index, places) in &job.on {
+            let task = TaskId::new(id, *index);
+            for name in places {
+                self.drop_planned(name, |t| t.job == id);
+                if let Some(t) = self.machines.get_mut(name).and_then(|m| m.tasks.get_mut(&task)) {
+                    t.stop = Some(Micros::ZERO);
+                }
+            }
         }
+        self.place_due = true;
         if !job.on.is_empty() {
             self.retired.insert(id.to_owned(), (job.spec.team.clone(), job.spec.need()));
         }
@@ -445,6 +453,7 @@
                 need: self.need_of(&t.task.job),
                 pending: None,
                 stop: machine.tasks.get(&t.task).and_then(|o| o.stop),
+                told: false,
                 since: machine.tasks.get(&t.task).map_or(self.now, |o| o.since),
             };
             if let Some(job) = self.jobs.get_mut(&t.task.job) {
