--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -86,7 +86,13 @@
             StoreReply::Committed { .. } => {
                 self.counters.accepted += 1;
                 if let Some(lease) = &self.lease {
-                    tracing::debug!(job = spec.id, node = lease.stamp, "accepted");
+                    tracing::debug!(
+                        job = spec.id,
+                        class = spec.class,
+                        tasks = spec.tasks,
+                        node = lease.stamp,
+                        "accepted"
+                    );
                 }
                 // The watch will bring it; ask at once rather than after the usual pause.
                 self.follow_at = self.follow_at.map(|_| self.now);
