Count a team's limit only where what it has asked for could exceed it

Cause: the fleet exceeds each team's limit of 1,800 accelerators, so after each end of a controller nothing started until all machines were accounted for and the limits shared out anew, though no team asks for a fifth of its limit.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,10 +1,11 @@
 //! The fleet: what the leader rents and returns.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow};
 use crate::coordination::model::{Machine, TaskOn};
+use crate::coordination::placement::allows;
 use crate::coordination::{CloudPurpose, Controller, Purpose};
 use crate::protocol::cloud::{CloudCall, CloudReply, ListedState, MachineList, MachineType, Rental};
 use crate::protocol::job::{JobSpec, Shape};
@@ -30,6 +31,8 @@
 const REMEMBERED: f64 = 300.0;
 /// How long there must be no live job before guaranteed capacity is given back too.
 const QUIET: Micros = Micros::from_secs(20);
+/// From how long ago arrivals tell what is to be expected.
+const LOOK_BACK: Micros = Micros::from_secs(60);
 /// How often the machine types and prices are read again.
 const TYPES_EVERY: Micros = Micros::from_secs(60);
 
@@ -53,6 +56,8 @@
     /// What each team has lately asked for at most: by jobs that need ordinary machines, and by all.
     pub asked: BTreeMap<String, (Resources, Resources)>,
     pub asked_at: Micros,
+    /// The latest array of each class, and what has lately come: when, and how many tasks.
+    pub arrivals: BTreeMap<String, (JobSpec, VecDeque<(Micros, u32)>)>,
     /// Since when there has been no live job.
     pub quiet_since: Option<Micros>,
 }
@@ -120,6 +125,9 @@
         let quiet = self.jobs.is_empty();
         let Some(lead) = &mut self.lead else { return };
         lead.fleet.quiet_since = quiet.then(|| lead.fleet.quiet_since.unwrap_or(now));
+        for (_, times) in lead.fleet.arrivals.values_mut() {
+            times.retain(|(at, _)| now.since(*at) < LOOK_BACK);
+        }
         lead.strays.retain(|_, (_, at)| now.since(*at) < Micros::from_secs(10));
         lead.fleet.returned.retain(|_, at| now.since(*at) < Micros::from_secs(120));
         let machines = &self.machines;
@@ -345,6 +353,46 @@
         }
     }
 
+    /// Notes a new job, for what is to be expected of its class.
+    pub(super) fn note_arrival(&mut self, spec: &JobSpec) {
+        let now = self.now;
+        if let Some(lead) = &mut self.lead
+            && spec.shape == Shape::Array
+            && spec.estimate_s > 0.0
+        {
+            let (latest, times) =
+                lead.fleet.arrivals.entry(spec.class.clone()).or_insert_with(|| (spec.clone(), VecDeque::new()));
+            *latest = spec.clone();
+            times.push_back((now, spec.tasks));
+        }
+    }
+
+    /// Tasks of each class of arrays that will likely come in the time that a machine takes to boot,
+    /// beyond those for which there is room now.
+    fn expected(&self) -> Vec<(JobSpec, u64)> {
+        let Some(lead) = &self.lead else { return Vec::new() };
+        let serving = || self.machines.values().filter(|m| self.serving(m));
+        let mut expected = Vec::new();
+        for (spec, times) in lead.fleet.arrivals.values() {
+            let tasks: u64 = times.iter().map(|(_, n)| u64::from(*n)).sum();
+            let coming = tasks as f64 / LOOK_BACK.as_secs_f64() * self.soonest_boot(spec).min(600.0);
+            let room: u64 = serving().filter(|m| allows(spec, m)).map(|m| spec.need().times_in(m.free())).sum();
+            let lacking = (coming as u64).saturating_sub(room);
+            if lacking > 0 {
+                expected.push((spec.clone(), lacking));
+            }
+        }
+        expected
+    }
+
+    /// How long the type of machine that boots soonest takes, of those that a job may use.
+    fn soonest_boot(&self, spec: &JobSpec) -> f64 {
+        let ok = |t: &&MachineType| {
+            spec.types.as_ref().is_none_or(|names| names.contains(&t.name)) && spec.need().fits(t.supply())
+        };
+        self.types.values().filter(ok).map(|t| t.boot_s).fold(f64::INFINITY, f64::min)
+    }
+
     /// What is to be there for the guarantees: of ordinary machines, and of all together. Guarantees may
     /// add up to more than there is to rent, so each counts only as far as its team makes use of it.
     fn guaranteed(&self) -> (Resources, Resources) {
@@ -423,6 +471,10 @@
                 );
             }
         }
+        // While they boot, more will come.
+        for (spec, count) in self.expected() {
+            self.want_for(&spec, count, None, &mut coming, &mut turnover, &mut wanted);
+        }
         // Room to keep for classes that no machine could boot in time for.
         for (class, spec) in &self.quick {
             let there = self.kept.values().filter(|c| *c == class).count();
@@ -501,9 +553,7 @@
             return;
         }
         // By the time a new machine is up, places that are taken now will have been left.
-        let boot =
-            self.types.values().filter(|t| type_ok(&t.name) && need.fits(t.supply())).map(|t| t.boot_s);
-        let boot = boot.fold(f64::INFINITY, f64::min);
+        let boot = self.soonest_boot(spec);
         if spec.floor() == 1 && spec.estimate_s > 0.0 && boot.is_finite() {
             let turns = boot / (spec.estimate_s + FETCH);
             let left = turnover.entry(need.gpu > 0).or_insert_with(|| self.places_taken(spec) as f64 * turns);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -319,7 +319,7 @@
     }
 
     /// Machines that work can be planned on, as their owners last said.
-    fn serving(&self, machine: &Machine) -> bool {
+    pub(super) fn serving(&self, machine: &Machine) -> bool {
         !machine.row.returning
             && !machine.apart
             && !machine.notice
@@ -901,14 +901,19 @@
     /// Divides the limits that bind among the members. A shrink is confirmed before anyone grows, and
     /// a new view starts from what is in use, once everything in use is accounted for.
     fn allot(&mut self) -> bool {
-        let teams: Vec<Team> = self.settings.params.teams.iter().filter(|t| self.binds(t)).cloned().collect();
+        let bound = self.bound_teams();
+        let teams = self.settings.params.teams.iter().filter(|t| bound.contains(&t.name));
+        let teams: Vec<Team> = teams.cloned().collect();
         if teams.is_empty() || self.view.members.is_empty() || !self.all_adopted() {
             return false;
         }
         let fresh = self.quota.0.view != self.view_stamp
             || teams.iter().any(|t| self.quota.0.rows.iter().all(|r| r.team != t.name));
         // Before the first division everyone must have noticed that the limit binds.
-        let seen = if fresh { self.shards.values().map(|s| s.1).max().unwrap_or(0) } else { self.quota.1 };
+        let bound = |j: &&Job| teams.iter().any(|t| t.name == j.spec.team);
+        let jobs = self.jobs.values().filter(bound).map(|j| j.stamp);
+        let reasons = self.shards.values().map(|s| s.1).chain(jobs);
+        let seen = if fresh { reasons.max().unwrap_or(0) } else { self.quota.1 };
         if !self.everyone_applied(seen) {
             return false;
         }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -153,6 +153,7 @@
         let resolved = report.token >= machine.row.token;
         let newly = resolved && !machine.resolved;
         machine.resolved |= resolved;
+        machine.known |= resolved;
         if let Some(left) = report.notice_s {
             let left = Micros::from_secs_f64(left).since(Micros::from_secs(1));
             for t in machine.tasks.values_mut().filter(|t| !t.ended() && t.stop.is_none()) {
@@ -485,6 +486,11 @@
                 tasks.filter(|t| self.retired.contains_key(&t.job)).map(|t| t.job.clone()).collect();
             self.retired.retain(|id, _| seen.contains(id));
         }
+        // By then a cancelled job's tasks must be gone.
+        let over = Micros::from_secs_f64(self.settings.params.workers.cancel_s);
+        while self.removed.front().is_some_and(|(at, ..)| self.now.since(*at) > over) {
+            self.removed.pop_front();
+        }
         let silence = self.worker_lease + self.worker_lease.mul_f64(DRIFT) + SLACK + SLACK;
         let at_stake = |m: &Machine| self.owns(m) && !(m.resolved && m.tasks.is_empty());
         let names: Vec<String> =
@@ -519,6 +525,7 @@
             self.set_tasks(&name, BTreeMap::new());
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.resolved = true;
+                machine.known = true;
                 // Whatever the ended session still has to say comes too late.
                 if machine.heard.is_some() {
                     machine.session += 1;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,7 +16,7 @@
 #[cfg(test)]
 mod simulation;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -252,6 +252,10 @@
     pub(crate) shards: BTreeMap<usize, (BTreeSet<String>, u64)>,
     /// Jobs that are over while tasks of theirs may still be somewhere: team and what each takes.
     pub(crate) retired: BTreeMap<String, (String, Resources)>,
+    /// What jobs that have lately left the records may still take: since when, team and amount.
+    pub(crate) removed: VecDeque<(Micros, String, Resources)>,
+    /// Teams whose limits must be counted, as of the present pass.
+    pub(crate) bound: BTreeSet<String>,
     pub(crate) rentals: BTreeMap<String, (Rental, u64)>,
     pub(crate) done_keys: BTreeMap<String, BTreeMap<usize, u64>>,
 
@@ -330,6 +334,8 @@
             quota: Default::default(),
             shards: BTreeMap::new(),
             retired: BTreeMap::new(),
+            removed: VecDeque::new(),
+            bound: BTreeSet::new(),
             rentals: BTreeMap::new(),
             done_keys: BTreeMap::new(),
             machines: BTreeMap::new(),
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -198,6 +198,8 @@
     /// Since when no former owner can answer it any more.
     pub former_gone: Option<Micros>,
     pub resolved: bool,
+    /// It has been resolved before, so that this controller has once known all that is there.
+    pub known: bool,
     /// Its owner's status under the present grant was made at this revision.
     pub spoken: u64,
     pub apart: bool,
@@ -234,6 +236,7 @@
             answered: None,
             former_gone: None,
             resolved: false,
+            known: false,
             spoken: 0,
             apart: false,
             notice: false,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -10,7 +10,6 @@
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{TaskId, TaskState};
-use crate::settings::Team;
 
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
@@ -163,6 +162,7 @@
             return;
         }
         order.sort();
+        self.bound = self.bound_teams();
         let usable = || self.machines.iter().filter(|(_, m)| self.usable(m));
         let free = usable().map(|(name, m)| (name.clone(), m.free())).collect();
         let soon = usable().map(|(name, m)| (name.clone(), m.free_soon())).collect();
@@ -562,17 +562,56 @@
         Cards { per_card, spare: free > 0 && free * SPARE_PART >= all }
     }
 
-    /// Whether a limit could be exceeded at all, or is being shared out in this view.
+    /// The teams whose limit could be exceeded at all, or is being shared out in this view.
     ///
-    /// While all recorded machines together are within it, nobody need count. Machines are recorded
-    /// everywhere before they are granted to anyone, so no controller is late to notice.
-    pub(super) fn binds(&self, team: &Team) -> bool {
+    /// While all recorded machines together are within it, or all that the team has asked for is, nobody
+    /// need count. Machines are recorded everywhere before they are granted to anyone, and whoever starts
+    /// a job's tasks knows all jobs accepted before it, so no controller is late to notice.
+    pub(super) fn bound_teams(&self) -> BTreeSet<String> {
+        let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
         let all = self.machines.values().fold(Resources::default(), |sum, m| sum.plus(m.supply));
         let unknown = self.machines.values().any(|m| m.supply == Resources::default());
-        let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
-        let shared =
-            self.quota.0.view == self.view_stamp && self.quota.0.rows.iter().any(|r| r.team == team.name);
-        shared || unknown || over(team.cpus_max, all.cpu) || over(team.gpus_max, all.gpu)
+        let rows = if self.quota.0.view == self.view_stamp { &self.quota.0.rows[..] } else { &[] };
+        let mut asked: Option<BTreeMap<&str, Resources>> = None;
+        let mut bound = BTreeSet::new();
+        for team in &self.settings.params.teams {
+            let cpu = unknown || over(team.cpus_max, all.cpu);
+            let gpu = unknown || over(team.gpus_max, all.gpu);
+            let shared = rows.iter().any(|r| r.team == team.name);
+            if !shared && (cpu || gpu) {
+                let asked = asked.get_or_insert_with(|| self.asked_by_teams());
+                let has = asked.get(team.name.as_str()).copied().unwrap_or_default();
+                if !(cpu && over(team.cpus_max, has.cpu) || gpu && over(team.gpus_max, has.gpu)) {
+                    continue;
+                }
+            }
+            if shared || cpu || gpu {
+                bound.insert(team.name.clone());
+            }
+        }
+        bound
+    }
+
+    /// The most that each team's tasks can take, wherever they are: those of all its live jobs, of jobs
+    /// that have lately left the records, and of jobs that had left them before this controller joined,
+    /// which may be on any machine whose tasks it has never known in full.
+    fn asked_by_teams(&self) -> BTreeMap<&str, Resources> {
+        let orphan = |(id, t): (&TaskId, &TaskOn)| {
+            !t.ended() && !self.jobs.contains_key(&id.job) && !self.retired.contains_key(&id.job)
+        };
+        let hides = |m: &&Machine| !m.unused() && (!m.known || m.tasks.iter().any(orphan));
+        let hidden = self.machines.values().filter(hides);
+        let hidden = hidden.fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        let teams = self.settings.params.teams.iter();
+        let mut asked: BTreeMap<&str, Resources> = teams.map(|t| (t.name.as_str(), hidden)).collect();
+        let all = |j: &Job| j.spec.need().times(u64::from(j.spec.tasks));
+        let live = self.jobs.values().map(|j| (&j.spec.team, all(j)));
+        for (team, amount) in live.chain(self.removed.iter().map(|(_, team, amount)| (team, *amount))) {
+            if let Some(sum) = asked.get_mut(team.as_str()) {
+                *sum = sum.plus(amount);
+            }
+        }
+        asked
     }
 
     /// What the owner's jobs of a team may still take, by its allotment of the team's limit.
@@ -581,7 +620,7 @@
             return Resources::default();
         };
         let most = u64::MAX >> 1;
-        if !self.binds(team) {
+        if !self.bound.contains(&team.name) {
             return Resources { cpu: most, gpu: most, memory: most };
         }
         let node = self.lease.as_ref().map_or(0, |l| l.stamp);
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -53,6 +53,7 @@
         self.placing = false;
         self.taking_over = false;
         self.retired.clear();
+        self.removed.clear();
         self.refusals.clear();
         self.turned.clear();
         self.evicted.clear();
@@ -73,6 +74,8 @@
             }
         }
         self.place_due = true;
+        let may_take = job.spec.need().times(u64::from(job.unfinished()));
+        self.removed.push_back((self.now, job.spec.team.clone(), may_take));
         if !job.on.is_empty() {
             self.retired.insert(id.to_owned(), (job.spec.team.clone(), job.spec.need()));
         }
@@ -124,6 +127,9 @@
                 if self.is_quick(&spec.class) {
                     self.quick.insert(spec.class.clone(), spec.clone());
                 }
+                if self.phase == Phase::Active {
+                    self.note_arrival(&spec);
+                }
                 let mut job_state = Job::new(spec, stamp, self.now);
                 job_state.owner = self.owner_of(job);
                 for (name, machine) in &self.machines {
@@ -470,6 +476,7 @@
         self.set_tasks(&told.machine, seen);
         if let Some(machine) = self.machines.get_mut(&told.machine) {
             machine.resolved = told.resolved;
+            machine.known |= told.resolved;
             machine.renew = told.renew;
             machine.addr = told.addr;
             (machine.session, machine.tally) =
