Rent also for arrays that will come while machines boot, as far as guarantees go

Cause: what is taken now was counted as left by the time a machine is up, but not what comes meanwhile: on every upswing guaranteed arrays waited a boot.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -330,16 +330,8 @@
         if !self.any_guarantee() {
             return;
         }
-        let mut now_asked: BTreeMap<&str, (Resources, Resources)> = BTreeMap::new();
-        for job in self.jobs.values() {
-            let wants = job.spec.need().times(u64::from(job.unfinished()));
-            let (ordinary, all) = now_asked.entry(&job.spec.team).or_default();
-            *all = all.plus(wants);
-            if !job.spec.spot {
-                *ordinary = ordinary.plus(wants);
-            }
-        }
-        let now_asked: BTreeMap<String, _> = now_asked.into_iter().map(|(t, a)| (t.to_owned(), a)).collect();
+        let asked = self.asked_now();
+        let asked: BTreeMap<String, _> = asked.into_iter().map(|(t, a)| (t.to_owned(), a)).collect();
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
         let fade = (-now.since(lead.fleet.asked_at).as_secs_f64() / REMEMBERED).exp();
@@ -347,7 +339,7 @@
         for (ordinary, all) in lead.fleet.asked.values_mut() {
             (*ordinary, *all) = (ordinary.scaled(fade), all.scaled(fade));
         }
-        for (team, (ordinary, all)) in now_asked {
+        for (team, (ordinary, all)) in asked {
             let most = lead.fleet.asked.entry(team).or_default();
             *most = (most.0.max(ordinary), most.1.max(all));
         }
@@ -360,31 +352,48 @@
             && spec.shape == Shape::Array
             && spec.estimate_s > 0.0
         {
-            let (latest, times) =
-                lead.fleet.arrivals.entry(spec.class.clone()).or_insert_with(|| (spec.clone(), VecDeque::new()));
+            let (latest, times) = lead
+                .fleet
+                .arrivals
+                .entry(spec.class.clone())
+                .or_insert_with(|| (spec.clone(), VecDeque::new()));
             *latest = spec.clone();
             times.push_back((now, spec.tasks));
         }
     }
 
     /// Tasks of each class of arrays that will likely come in the time that a machine takes to boot,
-    /// beyond those for which there is room now.
+    /// beyond those for which there is room now, as far as their teams' guarantees go: only guaranteed
+    /// work must not wait, and machines for other work are cheaper rented once it is there.
     fn expected(&self) -> Vec<(JobSpec, u64)> {
         let Some(lead) = &self.lead else { return Vec::new() };
+        let mut left = self.unused_guarantee();
         let serving = || self.machines.values().filter(|m| self.serving(m));
         let mut expected = Vec::new();
         for (spec, times) in lead.fleet.arrivals.values() {
+            let need = spec.need();
             let tasks: u64 = times.iter().map(|(_, n)| u64::from(*n)).sum();
             let coming = tasks as f64 / LOOK_BACK.as_secs_f64() * self.soonest_boot(spec).min(600.0);
-            let room: u64 = serving().filter(|m| allows(spec, m)).map(|m| spec.need().times_in(m.free())).sum();
-            let lacking = (coming as u64).saturating_sub(room);
-            if lacking > 0 {
-                expected.push((spec.clone(), lacking));
+            let guaranteed = if need.gpu > 0 { left.gpu / need.gpu } else { left.cpu / need.cpu.max(1) };
+            let coming = guaranteed.min(coming as u64);
+            left = left.minus(need.times(coming));
+            let room: u64 = serving().filter(|m| allows(spec, m)).map(|m| need.times_in(m.free())).sum();
+            if coming > room {
+                expected.push((spec.clone(), coming - room));
             }
         }
         expected
     }
 
+    /// What the teams do not use of their guarantees.
+    fn unused_guarantee(&self) -> Resources {
+        let asked = self.asked_now();
+        self.settings.params.teams.iter().fold(Resources::default(), |sum, team| {
+            let asked = asked.get(team.name.as_str()).map_or(Resources::default(), |a| a.1);
+            sum.plus(Resources::need(team.cpus, team.gpus, 0.0).minus(asked))
+        })
+    }
+
     /// How long the type of machine that boots soonest takes, of those that a job may use.
     fn soonest_boot(&self, spec: &JobSpec) -> f64 {
         let ok = |t: &&MachineType| {
@@ -393,6 +402,20 @@
         self.types.values().filter(ok).map(|t| t.boot_s).fold(f64::INFINITY, f64::min)
     }
 
+    /// What each team asks for now: by jobs that need ordinary machines, and by all.
+    fn asked_now(&self) -> BTreeMap<&str, (Resources, Resources)> {
+        let mut asked: BTreeMap<&str, (Resources, Resources)> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let wants = job.spec.need().times(u64::from(job.unfinished()));
+            let (ordinary, all) = asked.entry(&job.spec.team).or_default();
+            *all = all.plus(wants);
+            if !job.spec.spot {
+                *ordinary = ordinary.plus(wants);
+            }
+        }
+        asked
+    }
+
     /// What is to be there for the guarantees: of ordinary machines, and of all together. Guarantees may
     /// add up to more than there is to rent, so each counts only as far as its team makes use of it.
     fn guaranteed(&self) -> (Resources, Resources) {
