--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::{Cards, allows, wakes_dear};
+use crate::coordination::placement::{Cards, allows, keeps_dear};
 use crate::coordination::volumes::{Claim, share};
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::job::JobSpec;
@@ -674,7 +674,7 @@
                     let foreign = held.get(name).is_some_and(|h| !h.is_empty());
                     (
                         m.supply.gpu > 0 && job.spec.gpus == 0.0,
-                        wakes_dear(&job.spec, m),
+                        keeps_dear(&job.spec, m),
                         pass == 1 && foreign && !m.idle(),
                         rooms[name].cpu,
                     )
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -125,14 +125,9 @@
                 job.attempt = job.attempt.max(t.attempt);
             }
         }
-        let images: Vec<String> = seen
-            .iter()
-            .filter(|(_, t)| matches!(t.state, TaskState::Running | TaskState::Waiting))
-            .filter_map(|(id, _)| self.jobs.get(&id.job).map(|j| j.spec.image.clone()))
-            .collect();
         self.set_tasks(&name, seen);
+        self.remember_images(&name);
         let Some(machine) = self.machines.get_mut(&name) else { return };
-        images.iter().for_each(|i| machine.remember_image(i));
         let noticed = report.notice_s.is_some();
         let news = changed || noticed != machine.notice || !was_ready;
         if report.session != machine.session || machine.session_at.is_none() {
@@ -173,6 +168,19 @@
         }
     }
 
+    /// What a machine's tasks run from is in its cache.
+    pub(super) fn remember_images(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let cache_gb = self.types.get(&machine.row.kind).map_or(0.0, |t| t.cache_gb);
+        let has_it = |t: &TaskOn| matches!(t.state, TaskState::Running | TaskState::Waiting);
+        let jobs =
+            machine.tasks.iter().filter(|(_, t)| has_it(t)).filter_map(|(id, _)| self.jobs.get(&id.job));
+        let images: BTreeMap<&str, f64> = jobs.map(|j| (j.spec.image.as_str(), j.spec.image_gb)).collect();
+        for (image, gb) in images {
+            machine.remember_image(image, gb, cache_gb);
+        }
+    }
+
     fn task_ended(&mut self, name: &str, task: &TaskId, cause: Cause) {
         match cause {
             Cause::Done => {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -209,7 +209,8 @@
     pub dark_s: u32,
     pub up: bool,
     pub tasks: BTreeMap<TaskId, TaskOn>,
-    pub images: VecDeque<String>,
+    /// Images that it should have, the latest used first, and their sizes.
+    pub images: VecDeque<(String, f64)>,
     /// Errors in a row, and the jobs they befell.
     pub errors: u32,
     pub error_jobs: BTreeSet<String>,
@@ -270,12 +271,21 @@
         self.tasks.values().all(TaskOn::ended)
     }
 
-    pub fn remember_image(&mut self, image: &str) {
-        if self.images.front().is_some_and(|i| i == image) {
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Notes that a task runs from an image. What no longer fits the machine's cache has been dropped.
+    pub fn remember_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        if self.images.front().is_some_and(|(name, _)| name == image) {
             return;
         }
-        self.images.retain(|i| i != image);
-        self.images.push_front(image.to_owned());
-        self.images.truncate(8);
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_front((image.to_owned(), gb));
+        let mut room = cache_gb;
+        self.images.retain(|(_, gb)| {
+            room -= gb;
+            room >= 0.0
+        });
     }
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -21,11 +21,11 @@
 /// Accelerators count as spare while more than one in so many is free.
 const SPARE_PART: u64 = 4;
 
-/// Whether a task would keep an idle machine that costs more than it need: one with accelerators that
-/// it does not use, or an ordinary one where a cheap one would do. Left idle, it can be returned.
-pub(super) fn wakes_dear(spec: &JobSpec, machine: &Machine) -> bool {
-    let dear = (spec.gpus == 0.0 && machine.supply.gpu > 0) || (spec.spot && !machine.row.spot);
-    dear && machine.idle()
+/// Whether a task would keep a machine that costs more than it need: an idle one with accelerators that
+/// it does not use, or an ordinary one where a cheap one would do. Left idle, it can be returned, and
+/// room is left there for work that must have it.
+pub(super) fn keeps_dear(spec: &JobSpec, machine: &Machine) -> bool {
+    (spec.gpus == 0.0 && machine.supply.gpu > 0 && machine.idle()) || (spec.spot && !machine.row.spot)
 }
 
 /// What plain work leaves of accelerator machines to the accelerators' own.
@@ -80,7 +80,21 @@
 pub(super) struct Precedence(u8, u8, u32, u64);
 
 /// What makes an owner prefer one machine to another: the least first.
-type Preference = (bool, bool, u64);
+type Preference = (bool, Micros, u64);
+
+/// Which machines a choice is limited to.
+enum Only<'a> {
+    All,
+    Zone(&'a str),
+    /// Those that have the job's image.
+    Fetched,
+}
+
+impl Only<'_> {
+    fn zone(&self) -> Option<&str> {
+        if let Only::Zone(zone) = self { Some(zone) } else { None }
+    }
+}
 
 /// Room on the machines that an owner may use, during one pass.
 struct Rooms {
@@ -191,9 +205,6 @@
                 if gang { self.place_gang(&id, &mut rooms) } else { self.place_array(&id, &mut rooms) };
             planned += started;
             let short = self.jobs.get(&id).is_some_and(|j| j.placed() < self.wanted(j));
-            if short && !gang {
-                self.make_room(&id, &mut rooms);
-            }
             if short && held_back.is_none() {
                 held_back = Some(rank);
             }
@@ -277,11 +288,33 @@
         let spec = job.spec.clone();
         let short = self.wanted(job).saturating_sub(job.placed()).min(MOST_STARTS as u32);
         let short = u64::from(short).min(spec.need().times_in(self.team_room(&spec)));
-        let names = self.choose(&spec, short as usize, rooms, self.zone_counts(id), None);
-        if names.is_empty() {
-            return 0;
-        }
-        rooms.take(&names, spec.need());
+        let zones = self.zone_counts(id);
+        let names = if self.may_displace(&spec) {
+            // First where the image is, then where it would be if work of lower rank gave way, then
+            // wherever there is room: a class in a hurry has hardly time to fetch it.
+            let mut names = self.choose(&spec, short as usize, rooms, zones.clone(), &Only::Fetched);
+            rooms.take(&names, spec.need());
+            let mut taken = zones;
+            for name in &names {
+                *taken.entry(self.machines[name].row.zone.clone()).or_default() += 1;
+            }
+            let mut left = short - names.len() as u64;
+            left -= self.make_room(&spec, left, &mut taken, rooms, true);
+            let others = self.choose(&spec, left as usize, rooms, taken.clone(), &Only::All);
+            rooms.take(&others, spec.need());
+            for name in &others {
+                *taken.entry(self.machines[name].row.zone.clone()).or_default() += 1;
+            }
+            left -= others.len() as u64;
+            self.make_room(&spec, left, &mut taken, rooms, false);
+            names.extend(others);
+            names
+        } else {
+            let names = self.choose(&spec, short as usize, rooms, zones, &Only::All);
+            rooms.take(&names, spec.need());
+            names
+        };
+        let Some(job) = self.jobs.get(id).filter(|_| !names.is_empty()) else { return 0 };
         let open = |i: &u32| !job.done.contains(*i) && !job.on.contains_key(i);
         let starts: Vec<u32> = (job.next..spec.tasks).filter(open).take(names.len()).collect();
         let attempt = self.next_attempt(id);
@@ -294,27 +327,43 @@
         starts.len()
     }
 
-    /// Stops tasks of lower rank for a job whose class must start sooner than a machine boots: the latest
-    /// begun, of arrays, on own machines, most of all where the job's image is.
-    fn make_room(&mut self, id: &str, rooms: &mut Rooms) {
-        let quick = |j: &&Job| self.is_quick(&j.spec.class) && !j.spec.one_zone;
-        let Some(job) = self.jobs.get(id).filter(quick) else { return };
-        let spec = job.spec.clone();
+    /// Whether tasks of lower rank are stopped for a job at once: its class must start sooner than a
+    /// machine boots, and it can start task by task.
+    fn may_displace(&self, spec: &JobSpec) -> bool {
+        spec.shape != Shape::Gang && !spec.one_zone && self.is_quick(&spec.class)
+    }
+
+    /// Stops tasks of lower rank for `short` tasks of a job, the latest begun, of arrays, on own machines;
+    /// if `fetched`, only where the job's image is. Returns for how many there will be room, with what
+    /// is being stopped already, and adds these to the job's tasks by zone.
+    fn make_room(
+        &mut self,
+        spec: &JobSpec,
+        mut short: u64,
+        zones: &mut BTreeMap<String, u32>,
+        rooms: &mut Rooms,
+        fetched: bool,
+    ) -> u64 {
+        let before = short;
+        if short == 0 {
+            return 0;
+        }
         let need = spec.need();
-        let short = u64::from(self.wanted(job).saturating_sub(job.placed()));
-        let mut short = short.min(need.times_in(self.team_room(&spec)));
-        let mut zones = self.zone_counts(id);
         let most = spec.tasks.div_ceil(2);
         let yields = |t: &TaskId| {
             let other = self.jobs.get(&t.job).map(|j| &j.spec);
             other.is_some_and(|o| o.priority < spec.priority && o.shape == Shape::Array)
         };
-        let mut options: Vec<(bool, u64, String)> = Vec::new();
+        let mut options: Vec<(Micros, u64, String)> = Vec::new();
         for name in rooms.soon.keys() {
-            let Some(m) = self.machines.get(name).filter(|m| allows(&spec, m)) else { continue };
+            let Some(m) = self.machines.get(name).filter(|m| allows(spec, m)) else { continue };
+            let fetch = self.fetch_time(spec, m);
+            if fetched && fetch > Micros::ZERO {
+                continue;
+            }
             let lower = m.tasks.iter().filter(|(i, t)| !t.ended() && t.stop.is_none() && yields(i)).count();
             if lower > 0 || need.fits(rooms.soon[name]) {
-                options.push((!m.images.contains(&spec.image), lower as u64, name.clone()));
+                options.push((fetch, lower as u64, name.clone()));
             }
         }
         options.sort();
@@ -359,6 +408,22 @@
             }
             self.drop_planned(&name, |t| *t == task);
         }
+        before - short
+    }
+
+    /// About how long a machine needs to have a job's image. Fetches at the same time share its rate.
+    fn fetch_time(&self, spec: &JobSpec, machine: &Machine) -> Micros {
+        if machine.has_image(&spec.image) {
+            return Micros::ZERO;
+        }
+        let rate = self.types.get(&machine.row.kind).map_or(0.0, |t| t.fetch_gb_per_s).max(1e-3);
+        let fetching = machine.tasks.iter().filter(|(_, t)| t.state == TaskState::Fetching);
+        let images: BTreeSet<&String> =
+            fetching.filter_map(|(id, _)| self.jobs.get(&id.job).map(|j| &j.spec.image)).collect();
+        let shared = images.len() + usize::from(!images.contains(&spec.image));
+        // One that is on its way already has come some of it.
+        let part = if images.contains(&spec.image) { 0.5 } else { 1.0 };
+        Micros::from_secs_f64((spec.image_gb / rate * shared as f64 * part).max(1e-3))
     }
 
     /// Starts all tasks of a gang, or none. No task of an earlier attempt may be left.
@@ -387,8 +452,8 @@
         // Of the zones where all fit, the one that is left with least: a large gang may come next.
         let mut best: Option<(usize, Vec<String>)> = None;
         for zone in zones {
-            let mut names =
-                self.choose(&spec, size.max(MOST_STARTS), rooms, BTreeMap::new(), zone.as_deref());
+            let only = zone.as_deref().map_or(Only::All, Only::Zone);
+            let mut names = self.choose(&spec, size.max(MOST_STARTS), rooms, BTreeMap::new(), &only);
             let room = names.len();
             names.truncate(size);
             if names.len() == size && best.as_ref().is_none_or(|(least, _)| room < *least) {
@@ -420,7 +485,7 @@
         let missing: Vec<u32> = (0..spec.tasks).filter(|i| !job.on.contains_key(i)).collect();
         let (Some(attempt), 1) = (attempts.first().copied(), attempts.len()) else { return 0 };
         let most = spec.need().times_in(self.team_room(spec)).min(missing.len() as u64);
-        let names = self.choose(spec, most as usize, rooms, self.zone_counts(id), None);
+        let names = self.choose(spec, most as usize, rooms, self.zone_counts(id), &Only::All);
         rooms.take(&names, spec.need());
         for (index, name) in missing.iter().zip(&names) {
             self.plan(id, *index, attempt, name);
@@ -509,7 +574,7 @@
         count: usize,
         rooms: &Rooms,
         mut zones: BTreeMap<String, u32>,
-        only: Option<&str>,
+        only: &Only<'_>,
     ) -> Vec<String> {
         let need = spec.need();
         let mut options: Vec<(Preference, &String, Resources, &Machine)> = Vec::new();
@@ -517,11 +582,13 @@
         for (name, room) in rooms.free.iter().filter(|(_, room)| count > 0 && need.fits(**room)) {
             let Some(m) = self.machines.get(name) else { continue };
             if allows(spec, m)
-                && only.is_none_or(|z| z == m.row.zone)
+                && only.zone().is_none_or(|z| z == m.row.zone)
                 && !self.reserved_for_another(&rooms.reserved, spec, m)
             {
-                let fetches = !m.images.contains(&spec.image);
-                options.push(((wakes_dear(spec, m), fetches, room.cpu - need.cpu), name, *room, m));
+                let fetch = self.fetch_time(spec, m);
+                if fetch == Micros::ZERO || !matches!(only, Only::Fetched) {
+                    options.push(((keeps_dear(spec, m), fetch, room.cpu - need.cpu), name, *room, m));
+                }
             }
         }
         options.sort_unstable_by_key(|(key, name, ..)| (*key, *name));
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -474,6 +474,7 @@
             }
         }
         self.set_tasks(&told.machine, seen);
+        self.remember_images(&told.machine);
         if let Some(machine) = self.machines.get_mut(&told.machine) {
             machine.resolved = told.resolved;
             machine.known |= told.resolved;
