--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -222,6 +222,21 @@
             if lost.len() * 4 <= all.max(8) {
                 found.extend(lost.into_iter().cloned());
             }
+            // A replica that cannot be reached is of no use to anyone, so one on a machine that neither
+            // reports nor answers is not waited for until its lease ends. A zone that its owner cannot
+            // reach falls silent as a whole, and goes to whoever hears it.
+            let late = self.report_every.mul_f64(1.25).as_secs_f64();
+            let mut zones: BTreeMap<&str, (usize, usize, Vec<&String>)> = BTreeMap::new();
+            for (name, m) in self.machines.iter().filter(|(_, m)| held(m) && m.resolved) {
+                let (all, silent, lost) = zones.entry(&m.row.zone).or_default();
+                *all += 1;
+                *silent += usize::from(f64::from(self.dark(m)) > late);
+                if m.lost && !heard(name) && m.tasks.iter().any(|(id, t)| !t.ended() && self.serves(id)) {
+                    lost.push(name);
+                }
+            }
+            let few = zones.into_values().filter(|(all, silent, _)| silent * 4 <= *all);
+            found.extend(few.flat_map(|(.., lost)| lost).cloned());
         }
         found
     }
@@ -622,13 +637,17 @@
         *wanted.entry(key).or_default() += count as f64 / slots as f64 / turns;
     }
 
+    /// Whether a task is a replica of a live service.
+    fn serves(&self, task: &TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(|j| j.spec.shape == Shape::Service)
+    }
+
     /// Places that tasks of the same kind of need hold now, and will leave. Services do not.
     fn places_taken(&self, spec: &JobSpec) -> usize {
         let need = spec.need();
         let serving = self.machines.values().filter(|m| m.up && !m.row.returning && !m.apart && !m.notice);
-        let stays = |id: &TaskId| self.jobs.get(&id.job).is_some_and(|j| j.spec.shape == Shape::Service);
         let alike = |(id, t): &(&TaskId, &TaskOn)| {
-            !t.ended() && (t.need.gpu > 0) == (need.gpu > 0) && t.need.cpu * 2 >= need.cpu && !stays(id)
+            !t.ended() && (t.need.gpu > 0) == (need.gpu > 0) && t.need.cpu * 2 >= need.cpu && !self.serves(id)
         };
         serving.map(|m| m.tasks.iter().filter(alike).count()).sum()
     }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -13,6 +13,9 @@
 /// Orders in one answer: with the longest ids they stay far below 64 KiB.
 const MOST_ORDERS: usize = 300;
 
+/// How long beyond a late report a machine may stay unheard before it is asked whether it is there.
+const OVERDUE: Micros = Micros::from_millis(1_200);
+
 /// How long after a grant a worker may still not have found its owner.
 const SETTLED: Micros = Micros::from_secs(10);
 
@@ -60,6 +63,7 @@
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.reported = tally;
             machine.heard = Some(self.now);
+            machine.lost = false;
         }
         let placed = self.may_place();
         if placed {
@@ -140,6 +144,7 @@
         }
         machine.heard = machine.heard.filter(|_| direct).or(Some(now));
         machine.up = true;
+        machine.lost = false;
         machine.notice = noticed;
         machine.dark_s = 0;
         if !was_idle || !machine.idle() {
@@ -333,6 +338,7 @@
         }
         let now = self.now;
         let recent = Micros(self.report_every.0 * 2);
+        let overdue = self.report_every.mul_f64(1.25) + OVERDUE;
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
         for (name, m) in &mut self.machines {
             let mine = m.row.owner == self.settings.member && m.row.node == stamp;
@@ -341,7 +347,11 @@
             }
             let (session, token) = (m.session, m.row.token);
             let mut orders = Vec::new();
-            if m.resolved {
+            if m.resolved && !m.lost && m.heard.is_some_and(|at| now.since(at) > overdue) {
+                // Without orders: is it there at all?
+                m.asked = true;
+                m.talk_after = now + Micros::from_secs(1);
+            } else if m.resolved {
                 if m.session_at.is_none() || m.heard.is_none_or(|at| now.since(at) > recent) {
                     continue;
                 }
@@ -391,6 +401,8 @@
             return;
         }
         m.talking = false;
+        let asked = std::mem::take(&mut m.asked);
+        m.lost |= asked && matches!(reply, DirectReply::Unclear | DirectReply::NotSent);
         match &reply {
             DirectReply::Done(_) => {}
             DirectReply::Rejected(_) | DirectReply::NotSent => {
@@ -401,6 +413,7 @@
                 m.talk_after = now + Micros::from_secs(1);
                 self.drop_disowned(name);
             }
+            DirectReply::Unclear if asked => self.soon_status(),
             DirectReply::Unclear => {
                 m.talk_after = now + Micros::from_secs(3);
                 m.renew |= m.tasks.values().any(|t| matches!(t.pending, Some(Pending::Direct { .. })));
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -188,6 +188,10 @@
     /// The last report's; `tally` also counts replies to direct orders.
     pub reported: u64,
     pub addr: String,
+    /// Unheard for longer than any report is late, and asked directly it did not answer either.
+    pub lost: bool,
+    /// It is being asked whether it is there.
+    pub asked: bool,
     /// A direct call is on its way.
     pub talking: bool,
     pub talk_after: Micros,
@@ -230,6 +234,8 @@
             session_at: None,
             reported: 0,
             addr: String::new(),
+            lost: false,
+            asked: false,
             talking: false,
             talk_after: Micros::ZERO,
             renew: false,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -327,10 +327,10 @@
         starts.len()
     }
 
-    /// Whether tasks of lower rank are stopped for a job at once: its class must start sooner than a
-    /// machine boots, and it can start task by task.
-    fn may_displace(&self, spec: &JobSpec) -> bool {
-        spec.shape != Shape::Gang && !spec.one_zone && self.is_quick(&spec.class)
+    /// Whether tasks of lower rank are stopped for a job at once: a service, which starts replica by
+    /// replica, of a class that must start sooner than a machine boots.
+    pub(super) fn may_displace(&self, spec: &JobSpec) -> bool {
+        spec.shape == Shape::Service && !spec.one_zone && self.is_quick(&spec.class)
     }
 
     /// Stops tasks of lower rank for `short` tasks of a job, the latest begun, of arrays, on own machines;
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -124,7 +124,8 @@
             if !self.jobs.contains_key(job)
                 && let Ok(spec) = serde_json::from_value::<JobSpec>(value)
             {
-                if self.is_quick(&spec.class) {
+                // One that may displace others needs no room kept for it.
+                if self.is_quick(&spec.class) && !self.may_displace(&spec) {
                     self.quick.insert(spec.class.clone(), spec.clone());
                 }
                 if self.phase == Phase::Active {
@@ -251,6 +252,8 @@
             machine.heard = None;
             machine.answered = None;
             machine.former_gone = None;
+            machine.lost = false;
+            machine.asked = false;
             machine.talking = false;
             machine.renew = false;
             machine.talk_after = Micros::ZERO;
@@ -380,6 +383,7 @@
             up: m.up,
             apart: m.apart,
             notice: m.notice,
+            lost: m.lost,
             idle_s: if m.idle() { self.now.since(m.idle_since).as_secs_f64() as u32 } else { 0 },
             dark_s: self.dark(m),
             tasks: m
@@ -486,6 +490,7 @@
             machine.up = told.up;
             machine.apart = told.apart;
             machine.notice = told.notice;
+            machine.lost = told.lost;
             machine.dark_s = told.dark_s;
             machine.idle_since = self.now.since(Micros::from_secs(u64::from(told.idle_s)));
         }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -28,6 +28,8 @@
     pub up: bool,
     pub apart: bool,
     pub notice: bool,
+    /// It neither reports nor answers.
+    pub lost: bool,
     /// Seconds since anything ran here, and since the last report.
     pub idle_s: u32,
     pub dark_s: u32,
