Repeat a direct start under its own token only; services may move machines; idle 30 s

Now only under the token it was sent with, which the newer one fences; a failed call takes back only what it started itself.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -26,11 +26,13 @@
 /// What fetching an image adds to a task's time, about, in seconds.
 const FETCH: f64 = 10.0;
 /// How many times longer an idle machine is kept where teams have guarantees.
-const GUARANTEED_PATIENCE: f64 = 20.0;
+const GUARANTEED_PATIENCE: f64 = 5.0;
 /// How long a team's greatest demand counts for what is kept there for its guarantee, about.
 const REMEMBERED: f64 = 300.0;
 /// How long there must be no live job before guaranteed capacity is given back too.
 const QUIET: Micros = Micros::from_secs(20);
+/// How many standard deviations of what is asked for are kept beyond it.
+const DEVIATIONS: f64 = 2.0;
 /// From how long ago arrivals tell what is to be expected.
 const LOOK_BACK: Micros = Micros::from_secs(60);
 /// How often the machine types and prices are read again.
@@ -55,9 +57,14 @@
     pub rented_at: Micros,
     /// What each team has lately asked for at most: by jobs that need ordinary machines, and by all.
     pub asked: BTreeMap<String, (Resources, Resources)>,
+    /// By how much what jobs that need ordinary machines ask for may well differ from one moment to the
+    /// next: a few large jobs more than many small ones.
+    pub swing: Resources,
     pub asked_at: Micros,
     /// The latest array of each class, and what has lately come: when, and how many tasks.
     pub arrivals: BTreeMap<String, (JobSpec, VecDeque<(Micros, u32)>)>,
+    /// Controllers and zones out of whose reach their machines there were: when last.
+    pub silent: BTreeMap<(String, String), Micros>,
     /// Since when there has been no live job.
     pub quiet_since: Option<Micros>,
 }
@@ -197,46 +204,63 @@
     /// Machines that nobody has heard since they changed hands, though their owner hears its others:
     /// most likely they are gone. All jobs taken over wait for them, for as long as the leases of the
     /// former owner and the worker together; the cloud's word that they are returned settles it at once.
-    fn unreachable(&self) -> BTreeSet<String> {
+    fn unreachable(&mut self) -> BTreeSet<String> {
         // Reports come up to a quarter late, and a worker looks for its new owner a second at a time.
         let limit = self.report_every.mul_f64(1.25) + UNHEARD;
+        let late = self.report_every.mul_f64(1.25).as_secs_f64();
         let mut found = BTreeSet::new();
         let Some(lead) = &self.lead else { return found };
+        let mut silences = lead.fleet.silent.clone();
+        silences.retain(|_, at| self.now.since(*at) < self.worker_lease);
         for (member, node) in &self.nodes {
             let word = self.peers.get(member).map_or(Micros::MAX, |p| self.now.since(p.heard));
             if member != self.me() && word > Micros::from_secs(3) {
                 continue;
             }
             let held = |m: &&Machine| m.row.owner == *member && m.row.node == *node && !m.row.returning;
-            let all = self.machines.values().filter(held).count();
             let heard = |name: &str| lead.heard.get(name).is_some_and(|h| self.now.since(h.1) < limit);
-            let lost: Vec<&String> = self
-                .machines
-                .iter()
-                .filter(|(name, m)| {
-                    held(m) && !m.resolved && self.now.since(m.granted) > limit && !heard(name)
-                })
-                .map(|(name, _)| name)
-                .collect();
-            // An owner that hears few of its machines is cut off itself.
-            if lost.len() * 4 <= all.max(8) {
-                found.extend(lost.into_iter().cloned());
-            }
-            // A replica that cannot be reached is of no use to anyone, so one on a machine that neither
-            // reports nor answers is not waited for until its lease ends. A zone that its owner cannot
-            // reach falls silent as a whole, and goes to whoever hears it.
-            let late = self.report_every.mul_f64(1.25).as_secs_f64();
+            let mut all = 0;
+            let mut unheard: Vec<(&str, &String)> = Vec::new();
+            // By zone: machines that should report, how many of them do, and those that seem to be gone.
             let mut zones: BTreeMap<&str, (usize, usize, Vec<&String>)> = BTreeMap::new();
-            for (name, m) in self.machines.iter().filter(|(_, m)| held(m) && m.resolved) {
-                let (all, silent, lost) = zones.entry(&m.row.zone).or_default();
-                *all += 1;
-                *silent += usize::from(f64::from(self.dark(m)) > late);
-                if m.lost && !heard(name) && m.tasks.iter().any(|(id, t)| !t.ended() && self.serves(id)) {
+            for (name, m) in self.machines.iter().filter(|(_, m)| held(m)) {
+                all += 1;
+                let unknown = !m.resolved && self.now.since(m.granted) > limit;
+                if !m.resolved && !unknown {
+                    continue;
+                }
+                let (settled, fine, lost) = zones.entry(&m.row.zone).or_default();
+                let dark = f64::from(self.dark(m));
+                *settled += 1;
+                *fine += usize::from(m.resolved && dark <= late);
+                if unknown && !heard(name) {
+                    unheard.push((&m.row.zone, name));
+                }
+                // A replica that cannot be reached is of no use to anyone, so one on a machine that neither
+                // reports nor answers is not waited for until its lease ends.
+                let replicas = m.tasks.iter().any(|(id, t)| !t.ended() && self.serves(id));
+                if m.resolved && m.lost && dark >= late * 2.0 + 2.0 && replicas && !heard(name) {
                     lost.push(name);
                 }
             }
-            let few = zones.into_values().filter(|(all, silent, _)| silent * 4 <= *all);
-            found.extend(few.flat_map(|(.., lost)| lost).cloned());
+            // A zone out of its owner's reach falls silent as a whole: none is heard there one report
+            // after the first that is missed. It goes to whoever hears it. When it is back, its machines
+            // are heard one after the other.
+            for (zone, (settled, fine, _)) in &zones {
+                if fine * 2 < *settled {
+                    silences.insert((member.clone(), (*zone).to_owned()), self.now);
+                }
+            }
+            let silent = |zone: &str| silences.contains_key(&(member.clone(), zone.to_owned()));
+            // An owner that hears few of its machines is cut off itself.
+            if unheard.len() * 4 <= all.max(8) {
+                found.extend(unheard.into_iter().filter(|(z, _)| !silent(z)).map(|(_, name)| name.clone()));
+            }
+            let gone = zones.iter().filter(|(zone, _)| !silent(zone)).flat_map(|(_, (.., lost))| lost);
+            found.extend(gone.map(|name| (*name).clone()));
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.fleet.silent = silences;
         }
         found
     }
@@ -247,8 +271,7 @@
         let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s * patience);
         let mut idle_names = Vec::new();
         let mut names = Vec::new();
-        let Some(lead) = &self.lead else { return };
-        if lead.granting || self.now.since(lead.since) < Micros::from_secs(4) {
+        if self.lead.as_ref().is_none_or(|l| l.granting || self.now.since(l.since) < Micros::from_secs(4)) {
             return;
         }
         let unreachable = self.unreachable();
@@ -347,10 +370,20 @@
         }
         let asked = self.asked_now();
         let asked: BTreeMap<String, _> = asked.into_iter().map(|(t, a)| (t.to_owned(), a)).collect();
+        // Jobs come and go by chance: their number strays by its root, and so does the sum of their sizes.
+        let (mut cpu, mut gpu) = (0.0, 0.0);
+        for j in self.jobs.values().filter(|j| !j.spec.spot) {
+            let all = j.spec.need().times(u64::from(j.spec.tasks));
+            cpu += (all.cpu as f64).powi(2);
+            gpu += (all.gpu as f64).powi(2);
+        }
+        let root = |x: f64| (DEVIATIONS * x.sqrt()) as u64;
+        let swing = Resources { cpu: root(cpu), gpu: root(gpu), memory: 0 };
         let now = self.now;
         let Some(lead) = &mut self.lead else { return };
         let fade = (-now.since(lead.fleet.asked_at).as_secs_f64() / REMEMBERED).exp();
         lead.fleet.asked_at = now;
+        lead.fleet.swing = lead.fleet.swing.scaled(fade).max(swing);
         for (ordinary, all) in lead.fleet.asked.values_mut() {
             (*ordinary, *all) = (ordinary.scaled(fade), all.scaled(fade));
         }
@@ -389,7 +422,8 @@
             let need = spec.need();
             let tasks: u64 = times.iter().map(|(_, n)| u64::from(*n)).sum();
             let coming = tasks as f64 / LOOK_BACK.as_secs_f64() * self.soonest_boot(spec).min(600.0);
-            let guaranteed = if need.gpu > 0 { left.gpu / need.gpu } else { left.cpu / need.cpu.max(1) };
+            let (left_of, each) = if need.gpu > 0 { (left.gpu, need.gpu) } else { (left.cpu, need.cpu) };
+            let guaranteed = left_of / each.max(1);
             let coming = guaranteed.min(coming as u64);
             left = left.minus(need.times(coming));
             let room: u64 = serving().filter(|m| allows(spec, m)).map(|m| need.times_in(m.free())).sum();
@@ -435,13 +469,16 @@
     /// add up to more than there is to rent, so each counts only as far as its team makes use of it.
     fn guaranteed(&self) -> (Resources, Resources) {
         let mut sum = (Resources::default(), Resources::default());
+        let mut limit = Resources::default();
         let Some(lead) = &self.lead else { return sum };
         for team in &self.settings.params.teams {
             let Some((ordinary, all)) = lead.fleet.asked.get(&team.name) else { continue };
             let most = Resources::need(team.cpus, team.gpus, 0.0);
             sum = (sum.0.plus(ordinary.min(most)), sum.1.plus(all.min(most)));
+            limit = limit.plus(most);
         }
-        sum
+        let ordinary = sum.0.plus(lead.fleet.swing).min(limit);
+        (ordinary, sum.1.max(ordinary))
     }
 
     /// Machines up or coming that can be counted on: ordinary ones, and all.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -646,20 +646,23 @@
             *short = 0;
         }
         let closed = |spec: &JobSpec, m: &Machine| self.reserved_for_another(&reserved, spec, m);
+        let mut displaced: BTreeMap<&str, Resources> = BTreeMap::new();
         // First what owners can do with what they have, then what must change hands.
         for pass in 0..2 {
             for (id, job, short, zones) in order.iter_mut().filter(|(.., short, _)| *short > 0) {
                 let Some(owner) = &job.owner else { continue };
                 let need = job.spec.need();
+                // What its owner can make room for counts as room.
+                let displaces = self.may_displace(&job.spec);
                 let mut names: Vec<&str> = rooms
                     .iter()
                     .filter(|(name, room)| {
                         // Most machines are full: the cheap check first.
-                        if !need.fits(**room) {
+                        if !need.fits(**room) && !displaces {
                             return false;
                         }
                         let own = held.get(*name) == Some(owner);
-                        need.fits(self.room_for(&job.spec, name, **room))
+                        (displaces || need.fits(self.room_for(&job.spec, name, **room)))
                             && own == (pass == 0)
                             && (own || !moved.contains(**name))
                             && self
@@ -675,6 +678,7 @@
                     (
                         m.supply.gpu > 0 && job.spec.gpus == 0.0,
                         keeps_dear(&job.spec, m),
+                        !need.fits(rooms[name]),
                         pass == 1 && foreign && !m.idle(),
                         rooms[name].cpu,
                     )
@@ -684,9 +688,13 @@
                         break;
                     }
                     let machine = &self.machines[name];
+                    let yields =
+                        if displaces { self.displaceable(&job.spec, machine) } else { Resources::default() };
+                    let gone = displaced.get(name).copied().unwrap_or_default();
+                    let room = rooms[name].plus(yields.minus(gone));
                     let here = zones.as_mut().map(|z| z.entry(machine.row.zone.clone()).or_default());
                     let n = self
-                        .slots(&job.spec, name, machine, rooms[name], cards)
+                        .slots(&job.spec, name, machine, room, cards)
                         .min(*short)
                         .min(here.as_ref().map_or(u64::MAX, |h| **h));
                     if n == 0 {
@@ -697,6 +705,7 @@
                         *here -= n;
                     }
                     let used = need.times(n);
+                    displaced.insert(name, gone.plus(used.minus(rooms[name])));
                     rooms.insert(name, rooms[name].minus(used));
                     promised.insert(name.to_owned());
                     if pass == 1 {
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -289,8 +289,12 @@
             if orders.len() >= MOST_ORDERS {
                 break;
             }
-            if matches!(t.pending, Some(Pending::Direct { .. })) && t.stop.is_none() {
-                // Repeated: without effect where it has arrived.
+            // Repeated: without effect where it has arrived. Not under a newer token than it was sent with:
+            // a reply to that token may show that it never arrived while this answer is on its way.
+            if let Some(Pending::Direct { token, .. }) = t.pending
+                && token == machine.row.token
+                && t.stop.is_none()
+            {
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
             if t.pending == Some(Pending::Planned) && t.stop.is_none() {
@@ -379,6 +383,7 @@
                             "run, directly"
                         );
                         orders.push(Order::Start { task: id.text(), attempt: t.attempt });
+                        m.starting.push(id.clone());
                     }
                 }
                 if orders.is_empty() {
@@ -402,13 +407,19 @@
         }
         m.talking = false;
         let asked = std::mem::take(&mut m.asked);
+        let starting = std::mem::take(&mut m.starting);
         m.lost |= asked && matches!(reply, DirectReply::Unclear | DirectReply::NotSent);
         match &reply {
             DirectReply::Done(_) => {}
             DirectReply::Rejected(_) | DirectReply::NotSent => {
-                // Certainly not carried out: the next report's answer takes them along.
-                for t in m.tasks.values_mut().filter(|t| matches!(t.pending, Some(Pending::Direct { .. }))) {
-                    t.pending = Some(Pending::Planned);
+                // Certainly not carried out: the next report's answer takes them along. What an earlier
+                // call started is not among them: it may be there.
+                for id in &starting {
+                    if let Some(t) = m.tasks.get_mut(id)
+                        && matches!(t.pending, Some(Pending::Direct { .. }))
+                    {
+                        t.pending = Some(Pending::Planned);
+                    }
                 }
                 m.talk_after = now + Micros::from_secs(1);
                 self.drop_disowned(name);
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -192,6 +192,8 @@
     pub lost: bool,
     /// It is being asked whether it is there.
     pub asked: bool,
+    /// What the direct call on its way starts.
+    pub starting: Vec<TaskId>,
     /// A direct call is on its way.
     pub talking: bool,
     pub talk_after: Micros,
@@ -236,6 +238,7 @@
             addr: String::new(),
             lost: false,
             asked: false,
+            starting: Vec::new(),
             talking: false,
             talk_after: Micros::ZERO,
             renew: false,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -333,6 +333,24 @@
         spec.shape == Shape::Service && !spec.one_zone && self.is_quick(&spec.class)
     }
 
+    /// Tasks on a machine that would give way to a job: of arrays of lower rank.
+    fn yielding<'a>(
+        &'a self,
+        spec: &'a JobSpec,
+        machine: &'a Machine,
+    ) -> impl Iterator<Item = (&'a TaskId, &'a TaskOn)> {
+        machine.tasks.iter().filter(move |(id, t)| {
+            let other = self.jobs.get(&id.job).map(|j| &j.spec);
+            let lower = other.is_some_and(|o| o.priority < spec.priority && o.shape == Shape::Array);
+            !t.ended() && t.stop.is_none() && lower
+        })
+    }
+
+    /// What a machine's tasks take that would give way to a job.
+    pub(super) fn displaceable(&self, spec: &JobSpec, machine: &Machine) -> Resources {
+        self.yielding(spec, machine).fold(Resources::default(), |sum, (_, t)| sum.plus(t.need))
+    }
+
     /// Stops tasks of lower rank for `short` tasks of a job, the latest begun, of arrays, on own machines;
     /// if `fetched`, only where the job's image is. Returns for how many there will be room, with what
     /// is being stopped already, and adds these to the job's tasks by zone.
@@ -350,10 +368,6 @@
         }
         let need = spec.need();
         let most = spec.tasks.div_ceil(2);
-        let yields = |t: &TaskId| {
-            let other = self.jobs.get(&t.job).map(|j| &j.spec);
-            other.is_some_and(|o| o.priority < spec.priority && o.shape == Shape::Array)
-        };
         let mut options: Vec<(Micros, u64, String)> = Vec::new();
         for name in rooms.soon.keys() {
             let Some(m) = self.machines.get(name).filter(|m| allows(spec, m)) else { continue };
@@ -361,7 +375,7 @@
             if fetched && fetch > Micros::ZERO {
                 continue;
             }
-            let lower = m.tasks.iter().filter(|(i, t)| !t.ended() && t.stop.is_none() && yields(i)).count();
+            let lower = self.yielding(spec, m).count();
             if lower > 0 || need.fits(rooms.soon[name]) {
                 options.push((fetch, lower as u64, name.clone()));
             }
@@ -371,21 +385,16 @@
         for (_, _, name) in options {
             let m = &self.machines[&name];
             let here = zones.entry(m.row.zone.clone()).or_default();
-            let mut lower: Vec<(Micros, &TaskId, Resources)> = m
-                .tasks
-                .iter()
-                .filter(|(i, t)| !t.ended() && t.stop.is_none() && yields(i))
-                .map(|(i, t)| (t.since, i, t.need))
-                .collect();
-            lower.sort_by_key(|(since, task, _)| (*since, *task));
+            let mut lower: Vec<(&TaskId, &TaskOn)> = self.yielding(spec, m).collect();
+            lower.sort_by_key(|(task, t)| (t.since, *task));
             let mut room = rooms.soon[&name];
             while short > 0 && (!spec.spread || *here < most) {
                 let mut taken = Vec::new();
                 let mut with = room;
                 while !need.fits(with)
-                    && let Some((_, task, frees)) = lower.pop()
+                    && let Some((task, t)) = lower.pop()
                 {
-                    with = with.plus(frees);
+                    with = with.plus(t.need);
                     taken.push(task.clone());
                 }
                 if !need.fits(with) {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -254,6 +254,7 @@
             machine.former_gone = None;
             machine.lost = false;
             machine.asked = false;
+            machine.starting.clear();
             machine.talking = false;
             machine.renew = false;
             machine.talk_after = Micros::ZERO;
