--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -26,7 +26,7 @@
 /// What fetching an image adds to a task's time, about, in seconds.
 const FETCH: f64 = 10.0;
 /// How many times longer an idle machine is kept where teams have guarantees.
-const GUARANTEED_PATIENCE: f64 = 5.0;
+const GUARANTEED_PATIENCE: f64 = 20.0;
 /// How long a team's greatest demand counts for what is kept there for its guarantee, about.
 const REMEMBERED: f64 = 300.0;
 /// How long there must be no live job before guaranteed capacity is given back too.
