Less work where machines are judged and tasks placed, and one piece of code for repeated bits

Found on reading the change again, behaviour as it was: the leader looked through the tasks of every machine ten times a second before asking whether the machine was lost at all; room that stops will leave was worked out in every pass, also where no service may displace others.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -206,8 +206,8 @@
     /// former owner and the worker together; the cloud's word that they are returned settles it at once.
     fn unreachable(&mut self) -> BTreeSet<String> {
         // Reports come up to a quarter late, and a worker looks for its new owner a second at a time.
-        let limit = self.report_every.mul_f64(1.25) + UNHEARD;
-        let late = self.report_every.mul_f64(1.25).as_secs_f64();
+        let limit = self.latest_report() + UNHEARD;
+        let late = self.latest_report().as_secs_f64();
         let mut found = BTreeSet::new();
         let Some(lead) = &self.lead else { return found };
         let mut silences = lead.fleet.silent.clone();
@@ -238,8 +238,8 @@
                 }
                 // A replica that cannot be reached is of no use to anyone, so one on a machine that neither
                 // reports nor answers is not waited for until its lease ends.
-                let replicas = m.tasks.iter().any(|(id, t)| !t.ended() && self.serves(id));
-                if m.resolved && m.lost && dark >= late * 2.0 + 2.0 && replicas && !heard(name) {
+                let replicas = || m.tasks.iter().any(|(id, t)| !t.ended() && self.serves(id));
+                if m.resolved && m.lost && dark >= late * 2.0 + 2.0 && !heard(name) && replicas() {
                     lost.push(name);
                 }
             }
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// How long after the last one a worker's regular report comes at the latest.
+    pub(super) fn latest_report(&self) -> Micros {
+        self.report_every.mul_f64(1.25)
+    }
+
     /// What a machine's tasks run from is in its cache.
     pub(super) fn remember_images(&mut self, name: &str) {
         let Some(machine) = self.machines.get_mut(name) else { return };
@@ -342,7 +347,7 @@
         }
         let now = self.now;
         let recent = Micros(self.report_every.0 * 2);
-        let overdue = self.report_every.mul_f64(1.25) + OVERDUE;
+        let overdue = self.latest_report() + OVERDUE;
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
         for (name, m) in &mut self.machines {
             let mine = m.row.owner == self.settings.member && m.row.node == stamp;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -263,7 +263,6 @@
     pub(crate) types: BTreeMap<String, MachineType>,
     pub(crate) types_at: Option<Micros>,
     pub(crate) peers: BTreeMap<String, Peer>,
-    /// Machines not yet accounted for since jobs were taken over.
     /// The latest job of each class that must start sooner than a machine boots.
     pub(crate) quick: BTreeMap<String, JobSpec>,
     /// Machines with room kept for such a class.
@@ -278,6 +277,7 @@
     /// When controllers were last evicted.
     pub(crate) evicted: BTreeMap<String, Micros>,
     pub(crate) evict_at: Micros,
+    /// Machines not yet accounted for since jobs were taken over.
     pub(crate) unresolved: BTreeSet<String>,
     /// Users' questions about jobs that are live as far as this controller knows.
     pub(crate) polls: Vec<(RequestId, String)>,
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -266,14 +266,17 @@
     }
 
     pub fn free(&self) -> Resources {
-        let used = self.tasks.values().filter(|t| !t.ended());
-        used.fold(self.supply, |room, t| room.minus(t.need))
+        self.room_beside(|t| !t.ended())
     }
 
     /// The room there will be once what is being stopped has gone.
     pub fn free_soon(&self) -> Resources {
-        let used = self.tasks.values().filter(|t| !t.ended() && t.stop.is_none());
-        used.fold(self.supply, |room, t| room.minus(t.need))
+        self.room_beside(|t| !t.ended() && t.stop.is_none())
+    }
+
+    fn room_beside(&self, stays: impl Fn(&TaskOn) -> bool) -> Resources {
+        let staying = self.tasks.values().filter(|t| stays(t));
+        staying.fold(self.supply, |room, t| room.minus(t.need))
     }
 
     pub fn idle(&self) -> bool {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -179,7 +179,13 @@
         self.bound = self.bound_teams();
         let usable = || self.machines.iter().filter(|(_, m)| self.usable(m));
         let free = usable().map(|(name, m)| (name.clone(), m.free())).collect();
-        let soon = usable().map(|(name, m)| (name.clone(), m.free_soon())).collect();
+        // Only services in a hurry ask for what is being made room of.
+        let displaces = |id: &String| self.jobs.get(id).is_some_and(|j| self.may_displace(&j.spec));
+        let soon = if order.iter().any(|(_, id)| displaces(id)) {
+            usable().map(|(name, m)| (name.clone(), m.free_soon())).collect()
+        } else {
+            BTreeMap::new()
+        };
         let reserved = if self.leader_silent() { Vec::new() } else { self.reserved.clone() };
         let mut rooms = Rooms {
             free,
@@ -657,14 +663,12 @@
             let cpu = unknown || over(team.cpus_max, all.cpu);
             let gpu = unknown || over(team.gpus_max, all.gpu);
             let shared = rows.iter().any(|r| r.team == team.name);
-            if !shared && (cpu || gpu) {
+            let mut asks_more = || {
                 let asked = asked.get_or_insert_with(|| self.asked_by_teams());
                 let has = asked.get(team.name.as_str()).copied().unwrap_or_default();
-                if !(cpu && over(team.cpus_max, has.cpu) || gpu && over(team.gpus_max, has.gpu)) {
-                    continue;
-                }
-            }
-            if shared || cpu || gpu {
+                cpu && over(team.cpus_max, has.cpu) || gpu && over(team.gpus_max, has.gpu)
+            };
+            if shared || (cpu || gpu) && asks_more() {
                 bound.insert(team.name.clone());
             }
         }
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -1487,6 +1487,16 @@
     }
 }
 
+/// Standing machines with accelerators in both zones, and services in a hurry.
+fn hurried(seed: u64, trouble: Trouble, machines: usize, standing: usize, guaranteed: f64) -> World {
+    let mut world = World::sized(seed, trouble, Size { controllers: 3, machines });
+    in_a_hurry(&mut world, guaranteed);
+    for n in 0..standing {
+        world.add_machine("g8", ["east", "west"][n % 2], false);
+    }
+    world
+}
+
 /// Services that live all day, under everything that may befall them: after each trouble all replicas
 /// are there again, spread as their jobs ask, and those withdrawn are gone.
 #[test]
@@ -1502,11 +1512,7 @@
         ..Default::default()
     };
     for seed in 900..906 {
-        let mut world = World::sized(seed, trouble, Size { controllers: 3, machines: 40 });
-        in_a_hurry(&mut world, 40.0);
-        for n in 0..24 {
-            world.add_machine("g8", ["east", "west"][n % 2], false);
-        }
+        let mut world = hurried(seed, trouble, 40, 24, 40.0);
         world.run(Micros::from_secs(3));
         for n in 0..10 {
             let tasks = [2, 8, 12][n as usize % 3];
@@ -1537,11 +1543,7 @@
 /// Guards against services that waited for a boot while arrays ran in the room that they could have.
 #[test]
 fn a_service_in_a_hurry_takes_an_arrays_place_at_once() {
-    let mut world = World::sized(30, Trouble::default(), Size { controllers: 3, machines: 6 });
-    in_a_hurry(&mut world, 24.0);
-    for n in 0..6 {
-        world.add_machine("g8", ["east", "west"][n % 2], false);
-    }
+    let mut world = hurried(30, Trouble::default(), 6, 6, 24.0);
     for n in 0..3 {
         let job = JobSpec { shape: Shape::Array, gpus: 1.0, cpus: 2.0, zone: None, ..world.random_job(n) };
         world.submit(JobSpec { tasks: 400, priority: Priority::Low, team: "green".into(), ..job });
@@ -1563,11 +1565,7 @@
 /// back a whole zone that is only out of its owners' reach.
 #[test]
 fn a_dead_machines_replicas_start_elsewhere_long_before_its_lease_ends() {
-    let mut world = World::sized(31, Trouble::default(), Size { controllers: 3, machines: 40 });
-    in_a_hurry(&mut world, 96.0);
-    for n in 0..30 {
-        world.add_machine("g8", ["east", "west"][n % 2], false);
-    }
+    let mut world = hurried(31, Trouble::default(), 40, 30, 96.0);
     world.run(Micros::from_secs(3));
     for n in 0..8 {
         let service = replicas(&mut world, n, 8);
@@ -1599,11 +1597,7 @@
 /// them is kept.
 #[test]
 fn guarantees_are_kept_only_as_far_as_teams_use_them() {
-    let mut world = World::sized(32, Trouble::default(), Size { controllers: 3, machines: 200 });
-    in_a_hurry(&mut world, 4_000.0);
-    for n in 0..6 {
-        world.add_machine("g8", ["east", "west"][n % 2], false);
-    }
+    let mut world = hurried(32, Trouble::default(), 200, 6, 4_000.0);
     world.run(Micros::from_secs(3));
     for n in 0..2 {
         let service = replicas(&mut world, n, 8);
