A controller that is back is told by any witness what is on its machines; views come first

Followed machine by machine: (1) the view with the returner's new life waited 1.4 s behind one grant after another that returned slow machines; (2) the returner is granted its own machines under a new life, and only a machine's present holder was asked what may be on it, so nobody vouched, and 169 machines were open until they had reported, died or been returned; (3) holders said that nothing was owed only in statuses that announced nothing, which under load are rare.

Change: while the view is old no other grant is made. Statuses say up to which view all that was announced before it is confirmed. Once all others have said so, one that has been there before is asked for testimony on every machine that its holder does not know in full, whoever holds it; then everyone, each second. Since the view nobody else starts tasks of the returner's jobs, so what a witness lists is accounted for. The question and what was covered are a state machine of their own (`Inquiry`); words on machines no longer carry whether they are listed. A witness's addresses let the returner ask its machines directly at once.

Ruled out: asking all holders for all their words (more bytes, and no holder knows the returner's machines); recording a footprint of each controller in the store (changes); trusting the former life's last words as they are.

--- a/crates/recovery/src/announcements.rs
+++ b/crates/recovery/src/announcements.rs
@@ -28,6 +28,8 @@
     /// Recorded as uninformed: not waited for.
     excused: BTreeSet<Life>,
     last: u64,
+    /// The revision of the view that was last taken on, and the last announcement before it.
+    entered: (u64, u64),
 }
 
 impl Announcements {
@@ -37,8 +39,9 @@
     }
 
     /// The controllers that may take jobs over, without this one. A new one owes confirmation of all
-    /// that it has not confirmed yet.
-    pub fn members(&mut self, now: Micros, members: impl IntoIterator<Item = Life>) {
+    /// that it has not confirmed yet. `revision`: of the view that names them.
+    pub fn members(&mut self, now: Micros, revision: u64, members: impl IntoIterator<Item = Life>) {
+        self.entered = (revision, self.last);
         let members: BTreeSet<Life> = members.into_iter().collect();
         self.peers.retain(|life, _| members.contains(life));
         let last = self.last;
@@ -75,6 +78,12 @@
         relied_on.map(|(_, peer)| peer.confirmed).min().unwrap_or(u64::MAX)
     }
 
+    /// The view before which nothing was announced that is not confirmed; 0 while something may be.
+    pub fn cleared(&self) -> u64 {
+        let (view, last) = self.entered;
+        if self.settled() >= last { view } else { 0 }
+    }
+
     /// Somebody who is waited for has not confirmed everything.
     pub fn owed(&self) -> bool {
         self.peers.iter().any(|(life, peer)| peer.owes.is_some() && !self.excused.contains(life))
@@ -123,7 +132,7 @@
 
     fn two() -> Announcements {
         let mut a = Announcements::new();
-        a.members(Micros::ZERO, [life("b"), life("c")]);
+        a.members(Micros::ZERO, 10, [life("b"), life("c")]);
         a
     }
 
@@ -139,9 +148,14 @@
         assert!(a.settled() < 5, "another life's word counted");
         a.confirmed(Micros::ZERO, &life("c"), 6);
         assert!(a.settled() >= 5);
-        a.members(Micros::ZERO, [life("b"), life("c"), life("d")]);
+        a.members(Micros::ZERO, 20, [life("b"), life("c"), life("d")]);
         assert!(a.settled() < 5, "a new controller knows nothing yet");
-        a.members(Micros::ZERO, []);
+        assert_eq!(a.cleared(), 0, "what was announced before the view is not confirmed");
+        a.confirmed(Micros::ZERO, &life("c"), 7);
+        a.announced(Micros::ZERO, 8);
+        a.confirmed(Micros::ZERO, &life("d"), 5);
+        assert_eq!(a.cleared(), 20, "a later announcement holds the answer back");
+        a.members(Micros::ZERO, 30, []);
         assert_eq!(a.settled(), u64::MAX, "nobody is left to know");
     }
 
--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -122,14 +122,15 @@
         }
     }
 
-    /// Its holder vouches for a machine: all that others announced there before they counted on this
-    /// controller is in what it has just told. Former holders stay: one that has not heard of the grant
-    /// yet may still announce starts there, and what of it is missed here must count.
-    pub fn vouched(&mut self, machine: &str, by: &Life) {
-        self.told(machine, by, false);
-        if let Some(standing) = self.machines.get_mut(machine) {
-            standing.known = true;
-        }
+    /// A witness has told all that may be on a machine. Lives that are over as of the view that the witness
+    /// had taken on bind nothing any more: what they ordered it had confirmed. Former holders that live
+    /// stay: one that has not heard of a later grant yet may still announce starts there, and what of it is
+    /// missed here must count.
+    pub fn witnessed(&mut self, machine: &str, over: impl Fn(&Life) -> bool) {
+        let standing = self.machines.entry(machine.to_owned()).or_default();
+        standing.known = true;
+        standing.holders.retain(|life| !over(life));
+        standing.missed.retain(|life| !over(life));
     }
 
     /// Whether nothing of what a controller has said so far was missed.
@@ -144,10 +145,18 @@
 
     /// Whether all that may be on a machine is known.
     pub fn listed(&self, machine: &str, me: &Life) -> bool {
+        self.known_but_for(machine, |holder| holder == me)
+    }
+
+    /// Whether all that may be on a machine is known, beside what the asker itself has ordered there.
+    pub fn listed_for(&self, machine: &str, me: &Life, asker: &Life) -> bool {
+        self.known_but_for(machine, |holder| holder == me || holder == asker)
+    }
+
+    fn known_but_for(&self, machine: &str, but: impl Fn(&Life) -> bool) -> bool {
         self.machines.get(machine).is_some_and(|standing| {
-            standing.known
-                && standing.missed.is_empty()
-                && standing.holders.iter().all(|holder| holder == me || self.sound(holder))
+            let unknown = standing.missed.iter().any(|life| !but(life));
+            standing.known && !unknown && standing.holders.iter().all(|h| but(h) || self.sound(h))
         })
     }
 
@@ -222,23 +231,26 @@
         assert!(moved.listed("m", &me));
     }
 
-    /// Guards against forgetting a former holder that the present one's word does not bind.
+    /// Guards against forgetting a former holder that a witness's word does not bind, and against one whose
+    /// life is over holding a machine back for ever.
     #[test]
-    fn a_vouched_machine_still_hangs_on_its_former_holders() {
+    fn a_witnessed_machine_hangs_on_former_holders_that_live() {
         let (a, b, me) = (life("a"), life("b"), life("me"));
         let mut ledger = Ledger::new();
         ledger.member_since(Some(10));
+        ledger.granted("m", Some(life("gone")));
         ledger.granted("m", Some(a.clone()));
         ledger.heard(&a, 1, true, 10);
         ledger.heard(&b, 1, true, 10);
         ledger.granted("m", Some(b.clone()));
         ledger.told("m", &b, false);
-        assert!(!ledger.listed("m", &me), "never known in full");
         ledger.told("m", &a, false);
-        ledger.vouched("m", &b);
+        assert!(!ledger.listed("m", &me), "never known in full");
+        ledger.witnessed("m", |l| l.0 == "gone");
         assert!(ledger.listed("m", &me));
         ledger.uninformed(&a, true);
         assert!(!ledger.listed("m", &me), "a goes on without this controller");
+        assert!(ledger.listed_for("m", &me, &a), "what a ordered it knows itself");
     }
 
     /// Guards against a controller that is not counted on: what it missed it cannot know of.
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -8,14 +8,17 @@
 //!   only when all have confirmed it. One that does not confirm is recorded as uninformed first.
 //! - [`Ledger`]: what a controller may conclude from the announcements that it confirmed. A machine is
 //!   *listed* if all that may be on it is known, whether or not it can be reached.
+//! - [`Inquiry`]: what a controller that has just joined, and has confirmed nothing, asks of the others.
 //!
-//! Both are plain state machines: events and times in, answers out. Carrying messages, recording and
+//! All are plain state machines: events and times in, answers out. Carrying messages, recording and
 //! deciding what to start are the caller's.
 
 mod announcements;
+mod inquiry;
 mod ledger;
 
 pub use announcements::Announcements;
+pub use inquiry::{Inquiry, Question};
 pub use ledger::{Hearing, Ledger};
 
 /// A controller in one of its lives: its name, and the stamp of its registration.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -192,7 +192,9 @@
         let most = self.settings.params.state.txn_ops;
         let value_limit = ((self.settings.params.state.value_kb * 1024.0) as usize - 64).min(MOST_BYTES);
         let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
-        if self.lead.as_ref().is_none_or(|l| l.granting) {
+        // One grant at a time, and a new view before all else: on a large fleet there is always a machine to
+        // be returned, and a controller that was back waited 1.4 s for its view behind them.
+        if self.lead.as_ref().is_none_or(|l| l.granting) || view.is_none() && self.view_is_old() {
             return false;
         }
         let mut token = self.counter.0;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,7 +24,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use marblewalk_admission::{door::Door, plan::Held};
-use marblewalk_recovery::{Announcements, Ledger, Life};
+use marblewalk_recovery::{Announcements, Inquiry, Ledger, Life};
 use marblewalk_retry::Backoff;
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -202,8 +202,6 @@
     /// Its last word on each machine, with instants on this controller's clock.
     pub words: BTreeMap<String, MachineStatus>,
     pub asked_again: Micros,
-    /// Up to this revision of the records all that it had announced has been confirmed.
-    pub settled: u64,
 }
 
 /// Counters for the operators' endpoint.
@@ -313,10 +311,8 @@
     /// written.
     pub(crate) uninformed: (UninformedRecord, u64),
     pub(crate) recording: bool,
-    /// Requests for all words, and since which of them answers count for the present takeover.
-    pub(crate) asked: u64,
-    pub(crate) asked_since: Option<u64>,
-    pub(crate) asked_at: Micros,
+    /// What is asked of the others while jobs are taken over.
+    pub(crate) inquiry: Inquiry,
     /// Machines not yet accounted for since jobs were taken over.
     pub(crate) unresolved: BTreeSet<String>,
     /// Users' questions about jobs that are live as far as this controller knows.
@@ -407,9 +403,7 @@
             ledger: Ledger::new(),
             uninformed: Default::default(),
             recording: false,
-            asked: 0,
-            asked_since: None,
-            asked_at: Micros::ZERO,
+            inquiry: Inquiry::default(),
             unresolved: BTreeSet::new(),
             polls: Vec::new(),
             polls_at: Micros::ZERO,
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -367,10 +367,10 @@
             self.ledger.member_since(self.placing.then_some(self.view_stamp));
         }
         let others = self.view.members.iter().filter(|m| m.0 != self.settings.member);
-        self.announcements.members(self.now, others.cloned());
+        self.announcements.members(self.now, self.view_stamp, others.cloned());
         self.ledger.prune(|life| self.nodes.get(&life.0) == Some(&life.1));
         self.unresolved.clear();
-        self.asked_since = None;
+        self.inquiry.begin();
         self.taking_over = taken;
         if taken {
             // Only machines that somebody holds can run anything.
@@ -379,7 +379,8 @@
         }
         tracing::info!(members = ?self.view.members, unresolved = self.unresolved.len(), "new view");
         self.check_adoption();
-        self.soon_status();
+        // Who takes jobs over waits until all others have taken the view on.
+        self.status_due = Some(self.now);
         self.place_due = true;
     }
 
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -9,6 +9,7 @@
 mod network;
 mod outages;
 mod overload;
+mod returns;
 mod rules;
 mod services;
 mod store;
--- a/src/coordination/simulation/takeovers.rs
+++ b/src/coordination/simulation/takeovers.rs
@@ -4,7 +4,7 @@
 use crate::coordination::replica::rendezvous;
 
 /// An array of small tasks that any ordinary machine takes.
-fn array(world: &mut World, n: u32, tasks: u32) -> JobSpec {
+pub(super) fn array(world: &mut World, n: u32, tasks: u32) -> JobSpec {
     let job = JobSpec { shape: Shape::Array, zone: None, gpus: 0.0, spread: false, ..world.random_job(n) };
     JobSpec { tasks, cpus: 1.0, memory_gb: 1.0, team: "green".into(), one_zone: false, types: None, ..job }
 }
--- a/src/coordination/simulation/troubles.rs
+++ b/src/coordination/simulation/troubles.rs
@@ -96,11 +96,25 @@
         text
     }
 
+    /// How long an ended controller stays away: half of them are started again within a fraction of a
+    /// second.
+    fn away(&mut self) -> Micros {
+        let quick = self.rng.random_bool(0.5);
+        Micros(self.rng.random_range(if quick { 50 * MS..700 * MS } else { 700 * MS..7 * S }))
+    }
+
     pub(super) fn crash(&mut self, n: usize) {
+        if self.controllers[n].is_some() {
+            let back = self.away();
+            self.crash_for(n, back);
+        }
+    }
+
+    /// Ends a controller, which is started again after a time of one's own.
+    pub(super) fn crash_for(&mut self, n: usize, away: Micros) {
         if self.controllers[n].take().is_some() {
             self.lives[n] += 1;
-            let back = Micros(self.rng.random_range(4 * S..7 * S));
-            self.at(self.now + back, Happening::Start(n));
+            self.at(self.now + away, Happening::Start(n));
         }
     }
 }
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use marblewalk_recovery::Life;
+use marblewalk_recovery::{Life, Question};
 use serde_json::Value;
 
 use crate::bookkeeping::budget::Urgency;
@@ -11,14 +11,11 @@
 use crate::coordination::placement::allows;
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::job::JobSpec;
-use crate::protocol::peer::PeerMessage;
+use crate::protocol::peer::{MachineStatus, PeerMessage};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Cause, TaskId};
 
-/// How long after the holders of open machines have been asked they are asked again.
-const ASK_AGAIN: Micros = Micros::from_secs(1);
-
 /// How long starts wait for a controller that does not confirm them before it is recorded as uninformed.
 const PATIENCE: Micros = Micros::from_millis(300);
 
@@ -31,6 +28,10 @@
     /// Whether everything that may be on a machine is known, as far as jobs are concerned that have
     /// changed hands in this view.
     fn accounted(&self, name: &str, machine: &Machine, me: &Life) -> bool {
+        // Since this view nobody but this controller starts tasks of its jobs.
+        if self.inquiry.covers(name) {
+            return true;
+        }
         if self.owns(machine) {
             return machine.resolved || self.ledger.listed(name, me);
         }
@@ -85,7 +86,7 @@
             self.take_up(id);
         }
         if !all {
-            self.ask_holders();
+            self.ask_witnesses();
         }
         if all || !free.is_empty() {
             self.soon_status();
@@ -93,34 +94,68 @@
         }
     }
 
-    /// Asks the holders of open machines for what they know, once nothing is on its way any more that
-    /// this controller need not have been told: a controller that has just joined learns so what the
-    /// others have confirmed before they counted on it.
-    fn ask_holders(&mut self) {
-        if self.asked_since.is_some() && self.now.since(self.asked_at) < ASK_AGAIN {
+    /// Asks others for what they know of open machines, once nothing is on its way any more that this
+    /// controller need not have been told: a controller that has just joined learns so what the others
+    /// have confirmed before they counted on it, also of its own machines of a life before.
+    fn ask_witnesses(&mut self) {
+        let Some(question) = self.inquiry.due(self.now) else { return };
+        let view = self.view_stamp;
+        let status = |member: &String, node: u64| {
+            self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == node)
+        };
+        let others = || self.nodes.iter().filter(|(member, _)| **member != self.settings.member);
+        if !others().all(|(member, node)| status(member, *node).is_some_and(|s| s.cleared >= view)) {
             return;
         }
-        let view = self.view_stamp;
-        let settled = |(member, node): (&String, &u64)| {
-            *member == self.settings.member
-                || self
-                    .peers
-                    .get(member)
-                    .is_some_and(|p| p.settled >= view && p.status.as_ref().is_some_and(|s| s.stamp == *node))
+        let witnesses: Vec<Option<String>> = match question {
+            Question::OfAll => vec![None],
+            // One that takes nothing over has been there before; if all do, any may know something.
+            Question::OfOne => others()
+                .max_by_key(|(member, node)| status(member, **node).is_some_and(|s| s.adopted))
+                .map(|(member, _)| Some(member.clone()))
+                .into_iter()
+                .collect(),
         };
-        if !self.nodes.iter().all(settled) {
+        let question = self.inquiry.ask(self.now);
+        tracing::debug!(question, to = ?witnesses, open = self.unresolved.len(), "asking for testimony");
+        for to in witnesses {
+            self.effects.push(Effect::Send(to, PeerMessage::Witness { question }));
+        }
+    }
+
+    /// Tells one who takes jobs over what is known here of machines that are not known in full there.
+    pub(super) fn testify(&mut self, to: String, question: u64) {
+        let Some(node) = self.nodes.get(&to) else { return };
+        let (me, asker) = (self.life(), (to.clone(), *node));
+        // Of others their present holders tell.
+        let open = self.machines.iter().filter(|(_, m)| !m.unused() && !(m.resolved && self.holds(m)));
+        let known = open.filter(|(name, _)| self.ledger.listed_for(name, &me, &asker));
+        let machines = known.map(|(_, m)| self.word(m)).collect();
+        let testimony = PeerMessage::Testimony { stamp: me.1, question, machines };
+        self.effects.push(Effect::Send(Some(to), testimony));
+    }
+
+    /// Another controller has told all that it knows of machines.
+    pub(super) fn testified(&mut self, from: &str, stamp: u64, question: u64, told: &[MachineStatus]) {
+        if self.nodes.get(from) != Some(&stamp) || !self.taking_over || !self.inquiry.counts(question) {
             return;
         }
-        let open = self.unresolved.iter().filter_map(|name| self.machines.get(name));
-        let holders: BTreeSet<String> =
-            open.filter(|m| !self.owns(m) && self.holds(m)).map(|m| m.row.owner.clone()).collect();
-        self.asked += 1;
-        self.asked_at = self.now;
-        self.asked_since.get_or_insert(self.asked);
-        for holder in holders {
-            let message = PeerMessage::Again { number: self.asked };
-            self.effects.push(Effect::Send(Some(holder), message));
+        tracing::debug!(from, question, machines = told.len(), "testimony");
+        for word in told {
+            if self.machines.get(&word.machine).is_none_or(|m| m.resolved) {
+                continue;
+            }
+            self.may_be_there(word);
+            if let Some(m) = self.machines.get_mut(&word.machine).filter(|m| m.addr.is_empty()) {
+                m.addr.clone_from(&word.addr);
+            }
+            let (nodes, members) = (&self.nodes, &self.view.members);
+            let over = |life: &Life| nodes.get(&life.0) != Some(&life.1) && !members.contains(life);
+            self.ledger.witnessed(&word.machine, over);
+            self.inquiry.cover(&word.machine);
         }
+        self.check_adoption();
+        self.place_due = true;
     }
 
     /// A job is fully taken over: from here on this controller places it.
@@ -149,7 +184,12 @@
     /// Another controller has confirmed what this one has announced.
     pub(super) fn confirmed(&mut self, by: Life, sequence: u64) {
         let before = self.announcements.settled();
+        let cleared = self.announcements.cleared();
         self.announcements.confirmed(self.now, &by, sequence);
+        if self.announcements.cleared() != cleared {
+            // Whoever takes jobs over waits for this.
+            self.status_due = Some(self.now);
+        }
         if self.announcements.settled() != before {
             self.speak();
         }
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -61,14 +61,14 @@
     }
 
     /// All words, for one who has missed some. What has changed meanwhile comes again with the next.
-    fn tell_all(&mut self, to: String, answers: u64) {
+    fn tell_all(&mut self, to: String) {
         let machines: Vec<MachineStatus> =
             self.machines.values().filter(|m| self.owns(m)).map(|m| self.word(m)).collect();
         let held = self.machines.values().filter(|m| self.owns(m));
         let tallies =
             held.map(|m| Tally { machine: m.row.machine.clone(), session: m.session, tally: m.tally });
         let tallies = tallies.collect();
-        let status = Status { whole: true, answers, machines, tallies, ..self.bare_status() };
+        let status = Status { whole: true, machines, tallies, ..self.bare_status() };
         self.effects.push(Effect::Send(Some(to), PeerMessage::Status(status)));
     }
 
@@ -128,18 +128,12 @@
         (self.now.since(last) > self.latest_report()).then_some(last)
     }
 
-    /// Whether all that may be on a machine is known here.
-    pub(super) fn all_known(&self, m: &Machine) -> bool {
-        m.resolved || self.ledger.listed(&m.row.machine, &self.life())
-    }
-
     fn still_so(&self, m: &Machine, word: &MachineStatus) -> bool {
         let task = |((id, t), said): ((&TaskId, &TaskOn), &TaskStatus)| {
             t.attempt == said.attempt && t.state == said.state && t.cause == said.cause && *id == said.task
         };
         word.token == m.row.token
             && word.resolved == m.resolved
-            && word.listed == self.all_known(m)
             && word.renew == m.renew
             && word.up == m.up
             && word.apart == m.apart
@@ -152,7 +146,7 @@
             && m.tasks.iter().zip(&word.tasks).all(task)
     }
 
-    fn word(&self, m: &Machine) -> MachineStatus {
+    pub(super) fn word(&self, m: &Machine) -> MachineStatus {
         let tasks = m.tasks.iter().map(|(id, t)| TaskStatus {
             task: id.clone(),
             attempt: t.attempt,
@@ -163,7 +157,6 @@
             machine: m.row.machine.clone(),
             token: m.row.token,
             resolved: m.resolved,
-            listed: self.all_known(m),
             renew: m.renew,
             addr: m.addr.clone(),
             up: m.up,
@@ -182,8 +175,7 @@
             sequence: self.status_sequence,
             whole: false,
             confirm: false,
-            owed: self.announcements.owed(),
-            answers: 0,
+            cleared: self.announcements.cleared(),
             clock: self.now,
             applied: self.applied,
             stamp: self.lease.as_ref().map_or(0, |l| l.stamp),
@@ -204,7 +196,11 @@
         }
         match message {
             PeerMessage::Status(status) => self.peer_status(from, status),
-            PeerMessage::Again { number } => self.tell_all(from, number),
+            PeerMessage::Again => self.tell_all(from),
+            PeerMessage::Witness { question } => self.testify(from, question),
+            PeerMessage::Testimony { stamp, question, machines } => {
+                self.testified(&from, stamp, question, &machines);
+            }
             PeerMessage::Seen { stamp, sequence } => self.confirmed((from, stamp), sequence),
             PeerMessage::Door(word) => self.door_said(&from, word),
             PeerMessage::Plan(plan) => self.plan_said(&plan),
@@ -249,25 +245,18 @@
             }
             Hearing::Broken if now.since(peer.asked_again) >= ASK_SPACING => {
                 peer.asked_again = now;
-                Some(PeerMessage::Again { number: 0 })
+                Some(PeerMessage::Again)
             }
             _ => None,
         };
         peer.words.extend(words.iter().map(|w| (w.machine.clone(), w.clone())));
         peer.heard = now;
-        if before.is_none() {
-            peer.settled = 0;
-        }
-        if !status.owed {
-            peer.settled = status.applied;
-        }
-        let vouched = status.whole && self.asked_since.is_some_and(|first| status.answers >= first);
         peer.status = Some(status);
         for stop in stops {
             self.request_stop(&stop.machine, &stop.task, stop.attempt, Micros::from_millis(stop.grace_ms));
         }
         for word in words {
-            self.machine_told(&from, &word, vouched);
+            self.machine_told(&from, &word);
         }
         for read in tallies {
             if let Some(machine) = self.machines.get_mut(&read.machine).filter(|m| m.row.owner == from) {
@@ -299,13 +288,11 @@
         let Some(machine) = self.machines.get(name) else { return };
         let owner = machine.row.owner.clone();
         if let Some(word) = self.peers.get(&owner).and_then(|p| p.words.get(name)).cloned() {
-            self.machine_told(&owner, &word, false);
+            self.machine_told(&owner, &word);
         }
     }
 
-    /// `vouched`: what the sender lists has been told after all that was announced before this controller
-    /// was counted on.
-    fn machine_told(&mut self, from: &str, told: &MachineStatus, vouched: bool) {
+    fn machine_told(&mut self, from: &str, told: &MachineStatus) {
         let Some(machine) = self.machines.get(&told.machine) else { return };
         let node = self.nodes.get(from).copied();
         if machine.row.token != told.token || machine.row.owner != from || Some(machine.row.node) != node {
@@ -359,12 +346,7 @@
             machine.idle_since = told.idle_since.unwrap_or(self.now);
         }
         if let Some(node) = node {
-            let holder = (from.to_owned(), node);
-            if vouched && told.listed && !told.resolved {
-                self.ledger.vouched(&told.machine, &holder);
-            } else {
-                self.ledger.told(&told.machine, &holder, told.resolved);
-            }
+            self.ledger.told(&told.machine, &(from.to_owned(), node), told.resolved);
         }
         for task in completed {
             self.completed(&task);
@@ -375,9 +357,14 @@
     /// the new holder knows what is on it, they may be.
     fn told_too_late(&mut self, told: &MachineStatus) {
         let Some(machine) = self.machines.get(&told.machine) else { return };
-        if told.token >= machine.row.token || machine.resolved {
-            return;
+        if told.token < machine.row.token && !machine.resolved {
+            self.may_be_there(told);
         }
+    }
+
+    /// Until a machine is resolved, tasks that somebody says are there may be.
+    pub(super) fn may_be_there(&mut self, told: &MachineStatus) {
+        let Some(machine) = self.machines.get(&told.machine) else { return };
         let mut tasks = machine.tasks.clone();
         for t in &told.tasks {
             tasks.entry(t.task.clone()).or_insert_with(|| TaskOn {
@@ -391,6 +378,9 @@
                 told: false,
                 since: self.now,
             });
+            if let Some(job) = self.jobs.get_mut(&t.task.job) {
+                job.attempt = job.attempt.max(t.attempt);
+            }
         }
         self.set_tasks(&told.machine, tasks);
     }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -23,8 +23,6 @@
     pub token: u64,
     /// The list of tasks is complete: nothing older can still change it.
     pub resolved: bool,
-    /// All that may be there is in the list.
-    pub listed: bool,
     /// A fresh token is wanted: an order sent directly may still arrive.
     pub renew: bool,
     pub addr: String,
@@ -66,10 +64,8 @@
     pub whole: bool,
     /// It announces starts that wait for the receiver's confirmation.
     pub confirm: bool,
-    /// Somebody has not confirmed yet what the sender has announced.
-    pub owed: bool,
-    /// The request that it answers; 0: none.
-    pub answers: u64,
+    /// The view before which the sender announced nothing that is not confirmed; 0: something may be.
+    pub cleared: u64,
     /// The sender's clock, for the instants in `machines`.
     pub clock: Micros,
     /// Revision up to which the sender has applied the store's changes.
@@ -102,10 +98,18 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMessage {
     Status(Status),
-    /// The sender wants to hear of all machines: it has missed a status, or, with a number that the
-    /// answer repeats, it must know what has been confirmed until now.
-    Again {
-        number: u64,
+    /// The sender wants to hear of all the receiver's machines: it has missed a status.
+    Again,
+    /// The sender takes jobs over: what does the receiver know of machines that are not known in full?
+    Witness {
+        question: u64,
+    },
+    /// Machines, whoever holds them, of which the sender, under this registration, knows all that may be
+    /// there though their holders do not say so yet.
+    Testimony {
+        stamp: u64,
+        question: u64,
+        machines: Vec<MachineStatus>,
     },
     /// The sender, under this registration, has taken in all statuses up to this number.
     Seen {
