--- a/src/bookkeeping/blocks.rs
+++ b/src/bookkeeping/blocks.rs
@@ -3,6 +3,9 @@
 //! Every controller reads every grant, so what a row takes counts as often as there are controllers. A
 //! value also bounds how many machines one transaction can move.
 
+use std::borrow::Cow;
+use std::cmp::Ordering;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -26,16 +29,38 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Stored {
+struct Stored<'a> {
     v: u32,
     /// Types, zones and owners; the first is nobody.
-    names: Vec<String>,
-    rows: Vec<StoredRow>,
+    #[serde(borrow)]
+    names: Vec<Cow<'a, str>>,
+    #[serde(borrow)]
+    rows: Vec<StoredRow<'a>>,
 }
 
 /// Machine, type, zone, owner, registration, token, flags.
-#[derive(Serialize, Deserialize)]
-struct StoredRow(String, usize, usize, usize, u64, u64, u8);
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredRow<'a>(#[serde(borrow)] Cow<'a, str>, usize, usize, usize, u64, u64, u8);
+
+impl StoredRow<'_> {
+    fn names(&self) -> [usize; 3] {
+        [self.1, self.2, self.3]
+    }
+
+    fn expand(&self, names: &[Cow<'_, str>]) -> BlockRow {
+        let name = |n: usize| names.get(n).map_or_else(String::new, |name| name.clone().into_owned());
+        BlockRow {
+            machine: self.0.clone().into_owned(),
+            kind: name(self.1),
+            zone: name(self.2),
+            spot: self.6 & SPOT != 0,
+            owner: name(self.3),
+            node: self.4,
+            returning: self.6 & RETURNING != 0,
+            token: self.5,
+        }
+    }
+}
 
 /// What a name takes in a value, at most, with its comma.
 pub fn name_bytes(name: &str) -> usize {
@@ -51,51 +76,141 @@
 /// What a value takes beside rows and names.
 pub const FRAME_BYTES: usize = 40;
 
-/// The value to store for these rows.
-pub fn encode(rows: &[BlockRow]) -> serde_json::Result<Value> {
-    let mut names = vec![String::new()];
-    let mut number = |name: &String| {
-        names.iter().position(|n| n == name).unwrap_or_else(|| {
-            names.push(name.clone());
-            names.len() - 1
-        })
-    };
-    let rows = rows
-        .iter()
-        .map(|r| {
-            let flags = if r.spot { SPOT } else { 0 } | if r.returning { RETURNING } else { 0 };
-            let (kind, zone, owner) = (number(&r.kind), number(&r.zone), number(&r.owner));
-            StoredRow(r.machine.clone(), kind, zone, owner, r.node, r.token, flags)
-        })
-        .collect();
-    serde_json::to_value(Stored { v: VERSION, names, rows })
+/// A block as it was last read, by machine: a grant writes whole blocks, and few of their rows change.
+#[derive(Debug, Default)]
+pub struct Block {
+    names: Vec<Cow<'static, str>>,
+    rows: Vec<StoredRow<'static>>,
+    bytes: usize,
+}
+
+/// What differs between two readings of a block.
+#[derive(Debug, Default, PartialEq)]
+pub struct Changes {
+    pub gone: Vec<String>,
+    /// Rows that are new, or other than before.
+    pub rows: Vec<BlockRow>,
+}
+
+impl Block {
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    pub fn machines(&self) -> impl Iterator<Item = &str> {
+        self.rows.iter().map(|r| r.0.as_ref())
+    }
+
+    /// What its rows may come to take of a value, their names apart.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes what has been written, and says what is new in it. One that is not understood changes nothing.
+    pub fn update(&mut self, text: &str) -> Result<Changes, BlockError> {
+        let old: Vec<BlockRow>;
+        let mut stored = match text.trim_start().starts_with('[') {
+            true => {
+                old = serde_json::from_str(text).map_err(form)?;
+                stored_form(&old)
+            }
+            false => read(text)?,
+        };
+        let count = stored.names.len();
+        if stored.rows.iter().any(|r| r.names().into_iter().any(|n| n >= count)) {
+            return Err(BlockError::Name);
+        }
+        if !stored.rows.is_sorted_by(|a, b| a.0 < b.0) {
+            stored.rows.sort_by(|a, b| a.0.cmp(&b.0));
+        }
+        // Names by their numbers of before, so that rows compare without them.
+        let before = |name: &Cow<'_, str>| self.names.iter().position(|n| n == name);
+        let before: Vec<Option<usize>> = stored.names.iter().map(before).collect();
+        let same = |old: &StoredRow<'_>, new: &StoredRow<'_>| {
+            let names = old.names().into_iter().zip(new.names());
+            (old.4, old.5, old.6) == (new.4, new.5, new.6)
+                && names.into_iter().all(|(o, n)| before[n] == Some(o))
+        };
+        let mut changes = Changes::default();
+        let mut had = self.rows.iter().peekable();
+        for row in &stored.rows {
+            while let Some(gone) = had.next_if(|old| old.0 < row.0) {
+                changes.gone.push(gone.0.clone().into_owned());
+            }
+            match had.next_if(|old| old.0.cmp(&row.0) == Ordering::Equal) {
+                Some(old) if same(old, row) => {}
+                _ => changes.rows.push(row.expand(&stored.names)),
+            }
+        }
+        changes.gone.extend(had.map(|old| old.0.clone().into_owned()));
+        // Most names and machines stay: their text is kept rather than copied again.
+        let mut kept = std::mem::take(&mut self.rows).into_iter().peekable();
+        self.rows = Vec::with_capacity(stored.rows.len());
+        for row in stored.rows {
+            while kept.next_if(|old| old.0 < row.0).is_some() {}
+            let name = kept.next_if(|old| old.0 == row.0).map(|old| old.0);
+            self.rows.push(StoredRow(
+                name.unwrap_or_else(|| Cow::Owned(row.0.clone().into_owned())),
+                row.1,
+                row.2,
+                row.3,
+                row.4,
+                row.5,
+                row.6,
+            ));
+        }
+        self.names = stored.names.into_iter().map(|n| Cow::Owned(n.into_owned())).collect();
+        self.bytes = self.rows.iter().map(|r| row_bytes(&r.0)).sum();
+        Ok(changes)
+    }
+
+    /// Its key has been removed, and with it all its rows.
+    pub fn clear(&mut self) -> Changes {
+        let all = std::mem::take(self).rows;
+        Changes { gone: all.into_iter().map(|r| r.0.into_owned()).collect(), rows: Vec::new() }
+    }
 }
 
-/// The rows that a stored value holds.
-pub fn decode(value: Value) -> Result<Vec<BlockRow>, BlockError> {
-    let form = |e: serde_json::Error| BlockError::Form(e.to_string());
-    if value.is_array() {
-        return serde_json::from_value(value).map_err(form);
+fn form(problem: serde_json::Error) -> BlockError {
+    BlockError::Form(problem.to_string())
+}
+
+fn read(text: &str) -> Result<Stored<'_>, BlockError> {
+    #[derive(Deserialize)]
+    struct Versioned {
+        v: u64,
+    }
+    match serde_json::from_str::<Stored<'_>>(text) {
+        Ok(stored) if stored.v == VERSION => Ok(stored),
+        problem => match serde_json::from_str::<Versioned>(text) {
+            Ok(other) if other.v != u64::from(VERSION) => Err(BlockError::Version(other.v)),
+            _ => Err(problem.err().map_or(BlockError::Name, form)),
+        },
     }
-    match value.get("v").and_then(Value::as_u64) {
-        Some(version) if version != u64::from(VERSION) => return Err(BlockError::Version(version)),
-        _ => {}
+}
+
+fn stored_form(rows: &[BlockRow]) -> Stored<'_> {
+    let mut names: Vec<Cow<'_, str>> = vec![Cow::Borrowed("")];
+    let mut stored = Vec::with_capacity(rows.len());
+    for r in rows {
+        let mut numbers = [0; 3];
+        for (number, name) in numbers.iter_mut().zip([&r.kind, &r.zone, &r.owner]) {
+            *number = names.iter().position(|n| *n == name.as_str()).unwrap_or_else(|| {
+                names.push(Cow::Borrowed(name));
+                names.len() - 1
+            });
+        }
+        let flags = if r.spot { SPOT } else { 0 } | if r.returning { RETURNING } else { 0 };
+        let [kind, zone, owner] = numbers;
+        stored.push(StoredRow(Cow::Borrowed(&r.machine), kind, zone, owner, r.node, r.token, flags));
     }
-    let stored: Stored = serde_json::from_value(value).map_err(form)?;
-    let name = |n: usize| stored.names.get(n).cloned().ok_or(BlockError::Name);
-    let row = |r: StoredRow| {
-        Ok(BlockRow {
-            kind: name(r.1)?,
-            zone: name(r.2)?,
-            spot: r.6 & SPOT != 0,
-            owner: name(r.3)?,
-            node: r.4,
-            returning: r.6 & RETURNING != 0,
-            token: r.5,
-            machine: r.0,
-        })
-    };
-    stored.rows.into_iter().map(row).collect()
+    stored.sort_by(|a, b| a.0.cmp(&b.0));
+    Stored { v: VERSION, names, rows: stored }
+}
+
+/// The value to store for these rows.
+pub fn encode(rows: &[BlockRow]) -> serde_json::Result<Value> {
+    serde_json::to_value(stored_form(rows))
 }
 
 #[cfg(test)]
@@ -105,6 +220,11 @@
 
     use super::*;
 
+    /// The rows that a stored value holds.
+    fn decode(value: Value) -> Result<Vec<BlockRow>, BlockError> {
+        Block::default().update(&value.to_string()).map(|changes| changes.rows)
+    }
+
     fn random_rows(rng: &mut StdRng) -> Vec<BlockRow> {
         let kinds = ["g8", "lens12", "a \"quoted\" type"];
         let owners = ["", "quarry-0", "quarry-12"];
@@ -139,6 +259,51 @@
         }
     }
 
+    /// Guards the books against rows that are read as unchanged and are not, or the other way round: what
+    /// follows from one reading after the other must be what the last alone says.
+    #[test]
+    fn changes_from_reading_to_reading_add_up_to_the_rows() {
+        for seed in 0..100 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut block = Block::default();
+            let mut known = std::collections::BTreeMap::new();
+            let mut rows = random_rows(&mut rng);
+            for _ in 0..8 {
+                let value = if rng.random_bool(0.2) {
+                    serde_json::to_value(&rows).unwrap()
+                } else {
+                    encode(&rows).unwrap()
+                };
+                let changes = block.update(&value.to_string()).unwrap();
+                for gone in changes.gone {
+                    assert!(known.remove(&gone).is_some(), "seed {seed}: {gone} was not there");
+                }
+                for row in changes.rows {
+                    let before = known.insert(row.machine.clone(), row.clone());
+                    assert_ne!(before.as_ref(), Some(&row), "seed {seed}: nothing has changed");
+                }
+                assert!(known.values().eq(&rows), "seed {seed}");
+                assert!(block.machines().eq(rows.iter().map(|r| r.machine.as_str())));
+                assert_eq!(block.bytes(), rows.iter().map(|r| row_bytes(&r.machine)).sum::<usize>());
+                assert_eq!(
+                    block.update("{\"v\": 2}").map_err(|e| matches!(e, BlockError::Form(_))),
+                    Err(true)
+                );
+                let fresh = random_rows(&mut rng);
+                let keep = rng.random_range(0.0..1.0);
+                rows.retain(|_| rng.random_bool(0.9));
+                for row in fresh.into_iter().filter(|_| !rng.random_bool(keep)) {
+                    match rows.binary_search_by(|r| r.machine.cmp(&row.machine)) {
+                        Ok(i) => rows[i] = row,
+                        Err(i) => rows.insert(i, row),
+                    }
+                }
+            }
+            let gone = block.clear().gone;
+            assert!(gone.iter().eq(known.keys()) && block.is_empty());
+        }
+    }
+
     #[test]
     fn what_is_not_understood_is_refused_with_the_reason() {
         assert_eq!(decode(json!({"v": 3, "names": [], "rows": []})), Err(BlockError::Version(3)));
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -9,6 +9,7 @@
 use crate::bookkeeping::blocks;
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
+use crate::coordination::allotments::{self, Part};
 use crate::coordination::blocks::{SETTLE, ZonesLeft};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
@@ -201,21 +202,19 @@
         // A row grows when its machine is granted, and a value that has become too long could never be
         // written again: each row is given the room that it may come to need.
         let names = self.names_bytes(&added) + blocks::FRAME_BYTES;
-        let bytes = |(names, _): &(BTreeSet<String>, u64)| -> usize {
-            names.iter().map(|m| blocks::row_bytes(m)).sum()
-        };
+        let written = self.shards.iter().filter(|(_, (block, _))| !block.is_empty());
         let mut lengths: BTreeMap<usize, usize> =
-            self.shards.iter().map(|(n, shard)| (*n, names + bytes(shard))).collect();
+            written.clone().map(|(n, (block, _))| (*n, names + block.bytes())).collect();
         let rows_of = |n: usize| -> Vec<BlockRow> {
-            let names = self.shards.get(&n).into_iter().flat_map(|s| &s.0);
+            let names = self.shards.get(&n).into_iter().flat_map(|s| s.0.machines());
             names.filter_map(|name| self.machines.get(name)).map(|m| m.row.clone()).collect()
         };
         let mut shards: BTreeMap<usize, Vec<BlockRow>> = BTreeMap::new();
         let mut changed = BTreeSet::new();
         let mut room = MOST_BYTES;
         let budget = most.saturating_sub(2);
-        for (n, (names, _)) in &self.shards {
-            let touched = names.iter().any(|name| removed.contains(name) || moves.contains_key(name));
+        for (n, (block, _)) in written {
+            let touched = block.machines().any(|name| removed.contains(name) || moves.contains_key(name));
             // What does not fit goes with a later grant.
             if !touched || changed.len() >= budget || lengths[n] > room {
                 continue;
@@ -715,39 +714,21 @@
         self.nodes.iter().all(|(m, node)| (m == self.me() && self.applied >= revision) || seen(m, *node))
     }
 
+    /// What each member may use of a team's limit.
     fn divide(&self, team: &Team, limit: f64, gpu: bool, fresh: bool) -> Vec<u64> {
-        let limit = (limit * 1e3) as u64;
         let amount = |need: Resources| if gpu { need.gpu } else { need.cpu };
-        let mut next = Vec::new();
-        let mut used = Vec::new();
-        let mut wishes = Vec::new();
-        for (member, node) in &self.view.members {
+        let part = |(member, node): &(String, u64)| {
             let mine = |r: &&Allotment| r.member == *member && r.node == *node && r.team == team.name;
             let has = self.quota.0.rows.iter().find(mine).map_or(0, |r| if gpu { r.gpu } else { r.cpu });
             let word = self.word_of(member, *node).and_then(|s| s.usage.iter().find(|u| u.0 == team.name));
             let uses = word.map_or(0, |u| if gpu { u.2 } else { u.1 });
-            next.push(if fresh { uses } else { has });
-            used.push(uses);
             let owned = |j: &&Job| j.owner.as_deref() == Some(member) && j.spec.team == team.name;
             let wish = |j: &Job| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32));
-            wishes.push(self.jobs.values().filter(owned).map(wish).sum::<u64>());
-        }
-        // What a member may use, or uses all the same, cannot be given to another.
-        let bound: u64 = next.iter().zip(&used).map(|(n, u)| n.max(u)).sum();
-        let mut spare = limit.saturating_sub(bound);
-        let lacking: u64 = next.iter().zip(&wishes).map(|(n, w)| w.saturating_sub(*n)).sum();
-        let scarce = lacking > spare;
-        for i in 0..next.len() {
-            if wishes[i] > next[i] {
-                let grow = (wishes[i] - next[i]).min(spare);
-                next[i] += grow;
-                spare -= grow;
-            } else if scarce {
-                // Others lack room: what is not wished for is given up, for the next division.
-                next[i] = next[i].min(wishes[i].max(used[i]));
-            }
-        }
-        next
+            let wishes = self.jobs.values().filter(owned).map(wish).sum();
+            Part { has, uses, wishes }
+        };
+        let parts: Vec<Part> = self.view.members.iter().map(part).collect();
+        allotments::divide((limit * 1e3) as u64, fresh, &parts)
     }
 
     /// Removes completion records whose job is over.
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -381,7 +381,7 @@
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
         let settled = self.settled();
         for (name, m) in &mut self.machines {
-            let mine = m.row.owner == self.settings.member && m.row.node == stamp;
+            let mine = m.row.node == stamp && m.row.owner == self.settings.member;
             let known = m.session != 0 || !m.resolved;
             if !mine || m.talking || m.addr.is_empty() || !known || now < m.talk_after || m.renew {
                 continue;
@@ -499,8 +499,12 @@
     }
 
     /// Stops wanted by this controller's jobs on machines that others hold.
-    pub(super) fn foreign_stops(&self) -> Vec<StopRequest> {
+    pub(super) fn foreign_stops(&mut self) -> Vec<StopRequest> {
         let mut stops = Vec::new();
+        // Every status asks, and only now and then has anything been stopped.
+        if !std::mem::take(&mut self.stops_abroad) {
+            return stops;
+        }
         for machine in self.machines.values().filter(|m| !self.owns(m)) {
             for (id, t) in machine.tasks.iter().filter(|(_, t)| !t.ended()) {
                 if let Some(grace) = t.stop
@@ -515,6 +519,7 @@
                 }
             }
         }
+        self.stops_abroad = !stops.is_empty();
         stops
     }
 
@@ -578,7 +583,7 @@
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
         let mut lapsed = Vec::new();
         for (name, machine) in &mut self.machines {
-            let own = machine.row.owner == self.settings.member && machine.row.node == stamp;
+            let own = machine.row.node == stamp && machine.row.owner == self.settings.member;
             if !own || machine.resolved && machine.tasks.is_empty() {
                 continue;
             }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -105,8 +105,9 @@
             let lately = *again > Micros::ZERO && self.now.since(*again) < TURNED;
             *counts.entry(owner).or_default() += usize::from(lately);
         }
-        let held = |owner: &String| self.machines.values().filter(|m| m.row.owner == *owner).count();
-        let enough = |owner: &String, n: usize| n >= held(owner).clamp(1, 2);
+        // Two are enough to know, and every status asks.
+        let held = |owner: &String| self.machines.values().filter(|m| m.row.owner == *owner).take(2).count();
+        let enough = |owner: &String, n: usize| n >= 1 && n >= held(owner).max(1);
         counts.into_iter().filter(|(o, n)| enough(o, *n)).map(|(owner, _)| owner.clone()).collect()
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! be carried out. Nothing here waits, so a seeded test can run a whole cluster step by step.
 
 mod admission;
+mod allotments;
 mod blocks;
 mod fleet;
 mod intake;
@@ -28,6 +29,7 @@
 use marblewalk_retry::Backoff;
 use rand::{SeedableRng, rngs::StdRng};
 
+use crate::bookkeeping::blocks::Block;
 use crate::bookkeeping::budget::{Budget, Urgency};
 use crate::bookkeeping::cache::FinalCache;
 use crate::bookkeeping::records::{QuotaRecord, UninformedRecord, ViewRecord};
@@ -276,7 +278,7 @@
     pub(crate) view_stamp: u64,
     pub(crate) counter: (u64, u64),
     pub(crate) quota: (QuotaRecord, u64),
-    pub(crate) shards: BTreeMap<usize, (BTreeSet<String>, u64)>,
+    pub(crate) shards: BTreeMap<usize, (Block, u64)>,
     /// Jobs that are over while tasks of theirs may still be somewhere.
     pub(crate) retired: BTreeMap<String, Job>,
     /// What jobs that have lately left the records may still take: since when, team and amount.
@@ -313,6 +315,8 @@
     pub(crate) recording: bool,
     /// What is asked of the others while jobs are taken over.
     pub(crate) inquiry: Inquiry,
+    /// Tasks of own jobs on others' machines may have been asked to stop.
+    pub(crate) stops_abroad: bool,
     /// Machines not yet accounted for since jobs were taken over.
     pub(crate) unresolved: BTreeSet<String>,
     /// Users' questions about jobs that are live as far as this controller knows.
@@ -404,6 +408,7 @@
             uninformed: Default::default(),
             recording: false,
             inquiry: Inquiry::default(),
+            stops_abroad: false,
             unresolved: BTreeSet::new(),
             polls: Vec::new(),
             polls_at: Micros::ZERO,
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -116,6 +116,15 @@
         self.placed = self.on.keys().filter(|index| !self.done.contains(**index)).count() as u32;
     }
 
+    /// The job has another owner from now on. What this controller noted as completed and had not recorded
+    /// may be known to nobody else, and a leader that went by it would give the job no volume ever again.
+    pub fn forget_unrecorded(&mut self) {
+        self.done = self.stored.clone();
+        self.dirty.clear();
+        self.placed = self.on.keys().filter(|index| !self.done.contains(**index)).count() as u32;
+        self.next = 0;
+    }
+
     pub fn is_gang(&self) -> bool {
         self.spec.shape == Shape::Gang
     }
@@ -316,3 +325,30 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a job that was never done: its former owner, by then the leader, knew of completions
+    /// that had not been recorded, and named no volume for the tasks that the owner still had to run.
+    #[test]
+    fn a_job_that_leaves_its_owner_takes_only_recorded_completions_along() {
+        let spec: JobSpec = serde_json::from_value(serde_json::json!({
+            "Uid": "j-000001", "Jobclass": "any", "Crew": "blue", "Shape": "sweep", "Rank": "normal",
+            "Pieces": 4, "Cpus": 1.0, "Cards": 0.0, "MemoryGb": 1.0, "Kit": "img", "SizeGb": 1.0,
+            "Hulls": null, "Berth": null, "OneZone": false, "Apart": false, "Standby": true,
+            "RuntimeS": 10.0, "MarkS": 0.0, "StowS": 0.0, "DueS": null
+        }))
+        .unwrap();
+        let mut job = Job::new(spec, 1, Micros::ZERO);
+        job.put_on(2, "m");
+        job.complete(0);
+        job.merge(0, &job.done.chunk(0));
+        (1..4).for_each(|index| assert!(job.complete(index)));
+        assert_eq!((job.unfinished(), job.placed()), (0, 0));
+        job.forget_unrecorded();
+        assert_eq!((job.unfinished(), job.placed()), (3, 1));
+        assert!(job.done.contains(0) && job.dirty.is_empty());
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -13,6 +13,7 @@
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{TaskId, TaskState};
+use crate::settings::Team;
 
 /// Starts planned in one pass, so that a job of very many tasks cannot hold up everything else.
 const MOST_STARTS: usize = 400;
@@ -572,6 +573,7 @@
                 && !t.ended()
             {
                 t.stop.get_or_insert(grace);
+                self.stops_abroad = true;
             }
         }
     }
@@ -686,6 +688,10 @@
     /// a job's tasks knows all jobs accepted before it, so no controller is late to notice.
     pub(super) fn bound_teams(&self) -> BTreeSet<String> {
         let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
+        let limited = |t: &Team| t.cpus_max > 0.0 || t.gpus_max > 0.0;
+        if !self.settings.params.teams.iter().any(limited) {
+            return BTreeSet::new();
+        }
         let all = self.machines.values().fold(Resources::default(), |sum, m| sum.plus(m.supply));
         let unknown = self.blind() || self.machines.values().any(|m| m.supply == Resources::default());
         let rows = if self.quota.0.view == self.view_stamp { &self.quota.0.rows[..] } else { &[] };
@@ -821,6 +827,7 @@
             for (_, name, task) in tasks.into_iter().rev().take(*count as usize) {
                 if let Some(t) = self.machines.get_mut(&name).and_then(|m| m.tasks.get_mut(&task)) {
                     t.stop = Some(grace);
+                    self.stops_abroad = true;
                 }
             }
         }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -1,16 +1,13 @@
 //! The controller's copy of the followed records, and what other controllers say.
 
-use std::collections::BTreeSet;
-
 use marblewalk_recovery::{Announcements, Ledger};
-use serde_json::Value;
 
-use crate::bookkeeping::blocks;
-use crate::bookkeeping::records::{self, BlockRow, LeaderRecord, TaskSet};
+use crate::bookkeeping::blocks::Changes;
+use crate::bookkeeping::records::{self, LeaderRecord, TaskSet};
 use crate::coordination::model::{Job, Machine, Pending, TaskOn};
 use crate::coordination::{Controller, Phase, rules};
 use crate::protocol::job::JobSpec;
-use crate::protocol::store::{Change, Entry, StoreReply};
+use crate::protocol::store::{Change, Entry, Json, StoreReply};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::TaskId;
 
@@ -96,7 +93,7 @@
         let (last, first): (Vec<_>, Vec<_>) =
             entries.into_iter().partition(|e| e.key.starts_with(records::DONE) || e.key == records::VIEW);
         for e in first.into_iter().chain(last) {
-            self.put(&e.key, e.value, e.stamp);
+            self.put(&e.key, &e.value, e.stamp);
         }
         self.status_due = Some(self.now);
     }
@@ -113,7 +110,7 @@
                 self.following.succeeded();
                 for change in news.changes {
                     match change {
-                        Change::Put { key, value, stamp } => self.put(&key, value, stamp),
+                        Change::Put { key, value, stamp } => self.put(&key, &value, stamp),
                         Change::Delete { key, stamp } => self.delete(&key, stamp),
                     }
                 }
@@ -141,13 +138,13 @@
         self.unreadable.iter().any(|key| key.starts_with(records::BLOCKS))
     }
 
-    fn put(&mut self, key: &str, value: Value, stamp: u64) {
+    fn put(&mut self, key: &str, value: &Json, stamp: u64) {
         if !self.unreadable.is_empty() {
             self.unreadable.remove(key);
         }
         if let Some(job) = key.strip_prefix(records::LIVE) {
             if !self.jobs.contains_key(job) {
-                let spec = match serde_json::from_value::<JobSpec>(value) {
+                let spec = match value.read::<JobSpec>() {
                     Ok(spec) => spec,
                     Err(problem) => return self.not_understood(key, &problem),
                 };
@@ -176,7 +173,7 @@
             let Ok(chunk) = chunk.parse::<usize>() else { return };
             self.done_keys.entry(job.to_owned()).or_default().insert(chunk, stamp);
             if let Some(j) = self.jobs.get_mut(job) {
-                j.merge(chunk, &value);
+                j.merge(chunk, &value.read().unwrap_or_default());
             }
         } else if let Some(member) = key.strip_prefix(records::NODE) {
             self.nodes.insert(member.to_owned(), stamp);
@@ -185,32 +182,31 @@
             // It may not know yet, and may go on answering until its lease runs out.
             self.evicted.insert(member.to_owned(), self.now);
         } else if let Some(shard) = key.strip_prefix(records::BLOCKS) {
-            match (shard.parse(), blocks::decode(value)) {
-                (Ok(shard), Ok(rows)) => self.blocks_changed(shard, rows, stamp),
-                (_, Err(problem)) => self.not_understood(key, &problem),
-                (Err(problem), _) => self.not_understood(key, &problem),
+            match shard.parse() {
+                Ok(shard) => self.block_put(shard, key, value.text(), stamp),
+                Err(problem) => self.not_understood(key, &problem),
             }
         } else if let Some(request) = key.strip_prefix(records::RENTAL) {
-            if let Ok(rental) = serde_json::from_value(value) {
+            if let Ok(rental) = value.read() {
                 self.rentals.insert(request.to_owned(), (rental, stamp));
             }
         } else if let Some(member) = key.strip_prefix(records::UNINFORMED) {
             self.uninformed_by(member, value, stamp);
         } else if key == records::LEADER {
-            if let Ok(l) = serde_json::from_value::<LeaderRecord>(value) {
+            if let Ok(l) = value.read::<LeaderRecord>() {
                 self.leader = Some((l.member, l.node, stamp));
                 self.leadership_changed();
             }
         } else if key == records::VIEW {
-            if let Ok(view) = serde_json::from_value(value) {
+            if let Ok(view) = value.read() {
                 self.view = view;
                 self.view_stamp = stamp;
                 self.view_changed();
             }
         } else if key == records::COUNTER {
-            self.counter = (value.as_u64().unwrap_or(0), stamp);
+            self.counter = (value.read().unwrap_or(0), stamp);
         } else if key == records::QUOTA
-            && let Ok(quota) = serde_json::from_value(value)
+            && let Ok(quota) = value.read()
         {
             self.quota = (quota, stamp);
         }
@@ -241,8 +237,12 @@
             }
             self.soon_round();
         } else if let Some(shard) = key.strip_prefix(records::BLOCKS) {
-            if let Ok(shard) = shard.parse() {
-                self.blocks_changed(shard, Vec::new(), stamp);
+            if let Ok(shard) = shard.parse()
+                && let Some(block) = self.shards.get_mut(&shard)
+            {
+                block.1 = stamp;
+                let changes = block.0.clear();
+                self.blocks_changed(shard, changes, stamp);
             }
         } else if let Some(request) = key.strip_prefix(records::RENTAL) {
             self.rentals.remove(request);
@@ -252,23 +252,34 @@
         }
     }
 
-    fn blocks_changed(&mut self, shard: usize, rows: Vec<BlockRow>, stamp: u64) {
-        if self.shards.get(&shard).is_some_and(|s| s.1 >= stamp) {
+    /// A block has been written: what of it is new.
+    fn block_put(&mut self, shard: usize, key: &str, text: &str, stamp: u64) {
+        let (block, written) = self.shards.entry(shard).or_default();
+        if *written >= stamp {
             return;
         }
-        let names: BTreeSet<String> = rows.iter().map(|r| r.machine.clone()).collect();
-        let before = self.shards.insert(shard, (names.clone(), stamp)).map(|s| s.0).unwrap_or_default();
-        for gone in before.iter().filter(|n| !names.contains(*n)) {
+        match block.update(text) {
+            Ok(changes) => {
+                *written = stamp;
+                self.blocks_changed(shard, changes, stamp);
+            }
+            Err(problem) => self.not_understood(key, &problem),
+        }
+    }
+
+    fn blocks_changed(&mut self, shard: usize, changes: Changes, stamp: u64) {
+        let any_gone = !changes.gone.is_empty();
+        for gone in changes.gone {
             // Its row goes only after the cloud has confirmed that the machine is gone.
-            self.set_tasks(gone, Default::default());
-            self.machines.remove(gone);
-            self.ledger.gone(gone);
-            self.unresolved.remove(gone);
+            self.set_tasks(&gone, Default::default());
+            self.machines.remove(&gone);
+            self.ledger.gone(&gone);
+            self.unresolved.remove(&gone);
         }
-        if before.iter().any(|n| !names.contains(n)) {
+        if any_gone {
             self.check_adoption();
         }
-        for row in rows {
+        for row in changes.rows {
             let supply = self.types.get(&row.kind).map(|t| t.supply()).unwrap_or_default();
             let now = self.now;
             let holder = (!row.owner.is_empty()).then(|| (row.owner.clone(), row.node));
@@ -289,6 +300,7 @@
             }
             self.ledger.granted(&row.machine, holder);
             tracing::debug!(machine = row.machine, owner = row.owner, token = row.token, "granted");
+            self.stops_abroad = true;
             machine.row = row;
             machine.stamp = stamp;
             machine.granted = now;
@@ -350,6 +362,7 @@
             }
             taken |= mine && job.adopting;
             if was_mine && !mine {
+                job.forget_unrecorded();
                 lost.push(id.clone());
             }
             job.owner = owner;
@@ -369,6 +382,7 @@
         let others = self.view.members.iter().filter(|m| m.0 != self.settings.member);
         self.announcements.members(self.now, self.view_stamp, others.cloned());
         self.ledger.prune(|life| self.nodes.get(&life.0) == Some(&life.1));
+        self.stops_abroad = true;
         self.unresolved.clear();
         self.inquiry.begin();
         self.taking_over = taken;
@@ -386,7 +400,8 @@
 
     pub(super) fn owns(&self, machine: &Machine) -> bool {
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
-        machine.row.owner == self.settings.member && machine.row.node == stamp
+        // The stamp alone tells nearly all others apart, and this is asked of every machine all the time.
+        machine.row.node == stamp && machine.row.owner == self.settings.member
     }
 
     /// Replaces what is known of the tasks on a machine, keeping the jobs' index in step.
--- a/src/coordination/simulation/fleets.rs
+++ b/src/coordination/simulation/fleets.rs
@@ -15,8 +15,8 @@
         world.run(Micros::from_secs(second));
         let blocks = world.store.keys.iter().filter(|(key, _)| key.starts_with(records::BLOCKS));
         for (_, (value, ..)) in blocks {
-            let rows = blocks::decode(value.clone()).unwrap();
-            granted.extend(rows.into_iter().filter(|r| !r.owner.is_empty()).map(|r| r.machine));
+            let block = blocks::Block::default().update(&value.to_string()).unwrap();
+            granted.extend(block.rows.into_iter().filter(|r| !r.owner.is_empty()).map(|r| r.machine));
         }
     }
     // Idle ones are returned in the meantime, so they are counted as they are granted.
--- a/src/coordination/simulation/store.rs
+++ b/src/coordination/simulation/store.rs
@@ -69,8 +69,8 @@
     pub(super) fn news(&self, prefix: &str, after: u64) -> Vec<Change> {
         let first = self.log.partition_point(|(revision, ..)| *revision <= after);
         let new = self.log[first..].iter().filter(|(_, key, _)| key.starts_with(prefix));
-        new.map(|(stamp, key, value)| match value.clone() {
-            Some(value) => Change::Put { key: key.clone(), value, stamp: *stamp },
+        new.map(|(stamp, key, value)| match value {
+            Some(value) => Change::Put { key: key.clone(), value: value.into(), stamp: *stamp },
             None => Change::Delete { key: key.clone(), stamp: *stamp },
         })
         .collect()
@@ -87,7 +87,7 @@
                 let matching = self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && *k > after);
                 let mut entries: Vec<Entry> = matching
                     .take(8)
-                    .map(|(k, v)| Entry { key: k.clone(), value: v.0.clone(), stamp: v.1 })
+                    .map(|(k, v)| Entry { key: k.clone(), value: (&v.0).into(), stamp: v.1 })
                     .collect();
                 let more = entries.len() > 7;
                 entries.truncate(7);
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 
 use marblewalk_recovery::{Life, Question};
-use serde_json::Value;
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, UninformedRecord};
@@ -12,7 +11,7 @@
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::job::JobSpec;
 use crate::protocol::peer::{MachineStatus, PeerMessage};
-use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
+use crate::protocol::store::{Condition, Json, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Cause, TaskId};
 
@@ -196,8 +195,8 @@
     }
 
     /// A controller says in the records whom it does not wait for.
-    pub(super) fn uninformed_by(&mut self, member: &str, value: Value, stamp: u64) {
-        let Ok(record) = serde_json::from_value::<UninformedRecord>(value) else {
+    pub(super) fn uninformed_by(&mut self, member: &str, value: &Json, stamp: u64) {
+        let Ok(record) = value.read::<UninformedRecord>() else {
             // What cannot be read may name this controller.
             if let Some(node) = self.nodes.get(member) {
                 self.ledger.uninformed(&(member.to_owned(), *node), true);
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -104,7 +104,7 @@
     fn mark_announced(&mut self) -> bool {
         let (me, node) = self.life();
         let mut any = false;
-        for machine in self.machines.values_mut().filter(|m| m.row.owner == me && m.row.node == node) {
+        for machine in self.machines.values_mut().filter(|m| m.row.node == node && m.row.owner == me) {
             for t in machine.tasks.values_mut() {
                 if t.pending == Some(Pending::Planned) && t.announced == 0 {
                     t.announced = self.status_sequence;
@@ -170,7 +170,7 @@
     }
 
     /// A status without words on machines.
-    fn bare_status(&self) -> Status {
+    fn bare_status(&mut self) -> Status {
         Status {
             sequence: self.status_sequence,
             whole: false,
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -2,13 +2,37 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
+
+/// A value as it came: whoever needs it reads it into what it should be. Most of what a controller follows
+/// are blocks of machines of which few have changed, and a tree of each costs more than all that follows.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(transparent)]
+pub struct Json(Box<RawValue>);
+
+impl Json {
+    pub fn text(&self) -> &str {
+        self.0.get()
+    }
+
+    pub fn read<'a, T: Deserialize<'a>>(&'a self) -> serde_json::Result<T> {
+        serde_json::from_str(self.text())
+    }
+}
+
+#[cfg(test)]
+impl From<&Value> for Json {
+    fn from(value: &Value) -> Json {
+        Json(serde_json::value::to_raw_value(value).unwrap())
+    }
+}
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Entry {
     #[serde(rename = "Path")]
     pub key: String,
     #[serde(rename = "Value")]
-    pub value: Value,
+    pub value: Json,
     #[serde(rename = "Stamp")]
     pub stamp: u64,
 }
@@ -79,7 +103,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(try_from = "RawChange")]
 pub enum Change {
-    Put { key: String, value: Value, stamp: u64 },
+    Put { key: String, value: Json, stamp: u64 },
     Delete { key: String, stamp: u64 },
 }
 
@@ -90,8 +114,8 @@
     write: Option<String>,
     #[serde(rename = "Remove")]
     remove: Option<String>,
-    #[serde(rename = "Value", default)]
-    value: Value,
+    #[serde(rename = "Value")]
+    value: Option<Json>,
     #[serde(rename = "Stamp")]
     stamp: u64,
 }
@@ -101,11 +125,11 @@
 
     fn try_from(raw: RawChange) -> Result<Change, Self::Error> {
         match raw {
-            RawChange { write: Some(key), remove: None, value, stamp } => {
+            RawChange { write: Some(key), remove: None, value: Some(value), stamp } => {
                 Ok(Change::Put { key, value, stamp })
             }
             RawChange { write: None, remove: Some(key), stamp, .. } => Ok(Change::Delete { key, stamp }),
-            _ => Err("a change neither writes nor removes a key"),
+            _ => Err("a change neither writes a value nor removes a key"),
         }
     }
 }
