Lives that are over ordered only what was confirmed: no machine waits for one nobody heard

Change: the ledger is told when a life is over. Its messages are confirmed by nobody from then on, so it orders nothing more; what was missed of it was never confirmed and so never ordered. One that began after this controller had loaded the records and was counted on waited for its confirmation from the first order on. What it ordered while it was recorded as not waiting still counts until it is told.

Ruled out: waiting until such a life's lease would have ended (12 s, as before); taking every ended life for harmless (one that named this controller uninformed is not).

--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -22,6 +22,9 @@
     applied: u64,
     /// It has recorded that it does not wait for this controller's confirmation.
     uninformed: bool,
+    /// It is registered no more. Nothing that it says is confirmed any longer, so that it orders nothing
+    /// that this controller has not heard of, unless it counted without it.
+    over: bool,
 }
 
 /// What is known of one machine.
@@ -31,8 +34,9 @@
     known: bool,
     /// Who has held it since, the present holder last.
     holders: Vec<Life>,
-    /// Holders of whose announcements something may have been missed since they last spoke of it.
-    missed: BTreeSet<Life>,
+    /// Holders of whose announcements something may have been missed since they last spoke of it, and
+    /// whether it may have been ordered all the same: they did not wait for this controller.
+    missed: BTreeMap<Life, bool>,
 }
 
 /// What a controller knows for certain of where tasks may be.
@@ -45,6 +49,8 @@
 pub struct Ledger {
     /// Revision from which the others count on this controller's confirmation, if they have seen it.
     since: Option<u64>,
+    /// Revision from which this controller has seen every record.
+    from: u64,
     chains: BTreeMap<Life, Chain>,
     machines: BTreeMap<String, Standing>,
 }
@@ -55,6 +61,16 @@
         Self::default()
     }
 
+    /// The records were loaded as of this revision; whatever changes from then on is followed.
+    pub fn loaded(&mut self, revision: u64) {
+        self.from = revision;
+    }
+
+    /// A life is over: its registration has been removed, or replaced by the next one's.
+    pub fn ended(&mut self, life: &Life) {
+        self.chains.entry(life.clone()).or_default().over = true;
+    }
+
     /// This controller became one that may take jobs over at this revision, or has ceased to be.
     pub fn member_since(&mut self, revision: Option<u64>) {
         self.since = revision;
@@ -70,7 +86,7 @@
         chain.applied = chain.applied.max(applied);
         let complete = chain.unbroken;
         if breaks || whole && !next {
-            self.missed_by(from);
+            self.missed_by(from, false);
         }
         if complete { Hearing::Complete } else { Hearing::Broken }
     }
@@ -82,14 +98,14 @@
         if named {
             // From here on it may order what never comes here, also on machines that it no longer has.
             chain.unbroken = false;
-            self.missed_by(by);
+            self.missed_by(by, true);
         }
     }
 
-    /// Something that this controller announced may have been missed.
-    fn missed_by(&mut self, life: &Life) {
+    /// Something that this controller announced may have been missed; `ordered`: and ordered all the same.
+    fn missed_by(&mut self, life: &Life, ordered: bool) {
         for standing in self.machines.values_mut().filter(|s| s.holders.contains(life)) {
-            standing.missed.insert(life.clone());
+            *standing.missed.entry(life.clone()).or_default() |= ordered;
         }
     }
 
@@ -113,10 +129,10 @@
         let broken = self.chains.get(by).is_some_and(|c| !c.unbroken);
         let standing = self.machines.entry(machine.to_owned()).or_default();
         if resolved {
-            *standing = Standing { known: true, holders: vec![by.clone()], missed: BTreeSet::new() };
+            *standing = Standing { known: true, holders: vec![by.clone()], missed: BTreeMap::new() };
         }
         if broken {
-            standing.missed.insert(by.clone());
+            standing.missed.entry(by.clone()).or_default();
         } else {
             standing.missed.remove(by);
         }
@@ -130,7 +146,7 @@
         let standing = self.machines.entry(machine.to_owned()).or_default();
         standing.known = true;
         standing.holders.retain(|life| !over(life));
-        standing.missed.retain(|life| !over(life));
+        standing.missed.retain(|life, _| !over(life));
     }
 
     /// Whether nothing of what a controller has said so far was missed.
@@ -155,16 +171,22 @@
 
     fn known_but_for(&self, machine: &str, but: impl Fn(&Life) -> bool) -> bool {
         self.machines.get(machine).is_some_and(|standing| {
-            let unknown = standing.missed.iter().any(|life| !but(life));
+            let over = |life: &Life| self.chains.get(life).is_some_and(|c| c.over);
+            let unknown =
+                standing.missed.iter().any(|(life, ordered)| !but(life) && (*ordered || !over(life)));
             standing.known && !unknown && standing.holders.iter().all(|h| but(h) || self.sound(h))
         })
     }
 
     /// Whether everything that a controller may have ordered has been announced here: it counted on
-    /// this one's confirmation, and none of its messages was missed.
+    /// this one's confirmation, and none of its messages was missed. Of one that is over, what was missed was
+    /// never confirmed and so never ordered; one that has begun since counted on this controller from its
+    /// first order on, heard or not.
     fn sound(&self, life: &Life) -> bool {
-        let Some(since) = self.since else { return false };
-        self.chains.get(life).is_some_and(|c| c.unbroken && !c.uninformed && c.applied >= since)
+        let (Some(since), Some(chain)) = (self.since, self.chains.get(life)) else { return false };
+        let newborn = life.1 >= since && life.1 > self.from;
+        let counted = chain.applied >= since || chain.over && newborn;
+        counted && !chain.uninformed && (chain.over || chain.unbroken)
     }
 
     /// Forgets lives that are over and of whose time no machine is left.
@@ -253,6 +275,33 @@
         assert!(ledger.listed_for("m", &me, &a), "what a ordered it knows itself");
     }
 
+    /// Guards jobs against waiting for a controller that ended before anybody had heard it, and the books
+    /// against one that ended after it had gone on without this controller.
+    #[test]
+    fn lives_that_are_over_ordered_only_what_was_confirmed() {
+        let (mut ledger, a, me) = usual();
+        let (short, again): (Life, Life) = (("a".to_owned(), 20), ("a".to_owned(), 30));
+        ledger.loaded(5);
+        ledger.heard(&a, 9, false, 11);
+        assert!(!ledger.listed("m", &me), "a message was missed, and may yet be confirmed");
+        ledger.granted("m", Some(short.clone()));
+        ledger.ended(&a);
+        assert!(!ledger.listed("m", &me), "the next life may order what it announces");
+        ledger.granted("m", Some(again.clone()));
+        ledger.ended(&short);
+        assert!(!ledger.listed("m", &me) && ledger.listed_for("m", &me, &again));
+        let old: Life = ("b".to_owned(), 9);
+        ledger.granted("m", Some(old.clone()));
+        ledger.ended(&old);
+        assert!(!ledger.listed_for("m", &me, &again), "it began before it could count on this controller");
+        let (mut ledger, a, me) = usual();
+        ledger.uninformed(&a, true);
+        ledger.uninformed(&a, false);
+        ledger.heard(&a, 9, true, 12);
+        ledger.ended(&a);
+        assert!(!ledger.listed("m", &me), "it may have ordered something while it did not wait");
+    }
+
     /// Guards against a controller that is not counted on: what it missed it cannot know of.
     #[test]
     fn who_is_not_counted_on_concludes_nothing() {
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -89,6 +89,7 @@
     }
 
     pub(super) fn load_all(&mut self, entries: Vec<Entry>) {
+        self.ledger.loaded(self.applied);
         // Jobs before their completions, blocks before the view.
         let (last, first): (Vec<_>, Vec<_>) =
             entries.into_iter().partition(|e| e.key.starts_with(records::DONE) || e.key == records::VIEW);
@@ -176,7 +177,9 @@
                 j.merge(chunk, &value.read().unwrap_or_default());
             }
         } else if let Some(member) = key.strip_prefix(records::NODE) {
-            self.nodes.insert(member.to_owned(), stamp);
+            if let Some(former) = self.nodes.insert(member.to_owned(), stamp).filter(|s| *s != stamp) {
+                self.ledger.ended(&(member.to_owned(), former));
+            }
             self.soon_round();
         } else if let Some(member) = key.strip_prefix(records::EVICTED) {
             // It may not know yet, and may go on answering until its lease runs out.
@@ -228,8 +231,9 @@
                 }
             }
         } else if let Some(member) = key.strip_prefix(records::NODE) {
-            if self.nodes.get(member).is_some_and(|s| *s < stamp) {
+            if let Some(former) = self.nodes.get(member).copied().filter(|s| *s < stamp) {
                 self.nodes.remove(member);
+                self.ledger.ended(&(member.to_owned(), former));
                 if member == self.me() {
                     self.leave("the registration has been removed");
                     return;
