A first task for each waiting job of a flow that is over its share, by arrival

Need: a class counts as served by the jobs that were started as well as by those done.

Change: a sixteenth of a flow's share goes to first tasks of arrays whose turn is not yet, by arrival. Such a job has one task and not another when that has ended; its place is the next one's. What first tasks leave of the sixteenth is spent like the rest. Jobs that have had more than a first task keep the floor of one, as before.

--- a/crates/admission/examples/cost.rs
+++ b/crates/admission/examples/cost.rs
@@ -33,6 +33,7 @@
                 tasks: 1 + (n * 7_919 % 60) as u32,
                 whole: n % 11 == 0,
                 begun: n % 5 == 0,
+                started: u32::from(n % 5 == 0),
                 size: 1_000.0,
                 usable: 8_000e3,
                 task_s: 20.0 + (n * 31 % 90) as f64,
--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -19,6 +19,9 @@
 pub const LEAST: f64 = 1.0 / 16.0;
 /// The part of a flow's share that goes by arrival, so that no job waits for ever for smaller ones.
 pub const BY_ARRIVAL: f64 = 1.0 / 16.0;
+/// The part of a flow's share that goes to first tasks of jobs whose turn is not yet, by arrival: each is
+/// begun within a wait that has a bound, long before it can be done.
+pub const FIRST: f64 = 1.0 / 16.0;
 /// How far beyond its share a flow names jobs, for places that the first in turn can't use.
 pub const SPARE: f64 = 0.25;
 /// How much more the work of a gang counts for each instant missed by which it was expected to start: one
@@ -42,6 +45,8 @@
     pub whole: bool,
     /// Some of its tasks run: it keeps its floor.
     pub begun: bool,
+    /// Tasks that run or are done.
+    pub started: u32,
     /// What one task takes of the pool.
     pub size: f64,
     /// The most of the pool that its tasks could use, on machines that it may run on.
@@ -71,6 +76,11 @@
         self.demand() * self.task_s.max(1.0)
     }
 
+    /// It has had no more than a first task.
+    fn hardly_begun(&self) -> bool {
+        !self.whole && self.started <= 1 && (self.begun || self.started == 0)
+    }
+
     /// The fewest tasks that it is given once admitted.
     pub fn floor(&self) -> u32 {
         if self.whole { self.tasks } else { self.tasks.min(1) }
@@ -92,6 +102,8 @@
     /// There is room for all of its flow: by rank and arrival.
     #[default]
     Usual,
+    /// One task, the job's first, long before its turn; not another when that has ended.
+    First,
     /// In this place among the jobs that its flow's share is spent on.
     Nth(u32),
     /// It takes what those leave, in this order.
@@ -261,24 +273,62 @@
     // A gang that runs holds its places, whatever else is decided.
     let held: f64 =
         flow.iter().filter(|i| offers[**i].whole && offers[**i].begun).map(|i| offers[*i].demand()).sum();
-    let mut left = share - held;
-    let mut spare = share * SPARE;
+    // What first tasks may take of the share; what they don't is spent like the rest.
+    let hardly = flow.iter().filter(|i| offers[**i].hardly_begun());
+    let mut first = (share * FIRST).min(hardly.map(|i| offers[*i].size).sum());
+    let mut left = share - held - first;
+    let fits = |i: usize, room: f64| {
+        let offer = &offers[i];
+        let most = ((room / offer.size + 1e-6).floor().max(0.0)).min(f64::from(offer.tasks)) as u32;
+        if offer.whole && room > 0.0 { offer.tasks } else { most }
+    };
+    let mut later = Vec::new();
+    let mut last = None;
     for (turn, i) in order.into_iter().enumerate() {
+        let (offer, turn) = (&offers[i], turn as u32);
+        let most = if offer.whole && offer.begun { offer.tasks } else { fits(i, left) };
+        if most == 0 {
+            later.push((turn, i));
+            continue;
+        }
+        verdicts[i] = Verdict::Admitted { most, turn: Turn::Nth(turn) };
+        if !(offer.whole && offer.begun) {
+            left -= f64::from(most) * offer.size;
+            last = Some((turn, i, most));
+        }
+    }
+    // Those that have their first task keep its place until it ends; then it is the next one's, by arrival.
+    let mut firsts: Vec<usize> = later.iter().map(|l| l.1).filter(|i| offers[*i].hardly_begun()).collect();
+    firsts.sort_unstable_by_key(|i| (!offers[*i].begun, offers[*i].arrival));
+    for i in firsts {
         let offer = &offers[i];
-        let turn = turn as u32;
-        if offer.whole && offer.begun {
-            verdicts[i] = Verdict::Admitted { most: offer.tasks, turn: Turn::Nth(turn) };
+        if offer.begun || first + 1e-6 >= offer.size {
+            first -= offer.size;
+            verdicts[i] = Verdict::Admitted { most: 1, turn: Turn::First };
+        }
+    }
+    left += first;
+    if let Some((turn, i, most)) = last {
+        let more = fits(i, left).min(offers[i].tasks - most);
+        left -= f64::from(more) * offers[i].size;
+        verdicts[i] = Verdict::Admitted { most: most + more, turn: Turn::Nth(turn) };
+    }
+    let mut spare = share * SPARE;
+    for (turn, i) in later {
+        let offer = &offers[i];
+        if let Verdict::Admitted { most, .. } = verdicts[i] {
+            let more = fits(i, left).min(offer.tasks - most);
+            if more > 0 {
+                left -= f64::from(more) * offer.size;
+                verdicts[i] = Verdict::Admitted { most: most + more, turn: Turn::Nth(turn) };
+            }
             continue;
         }
-        let fits = |room: f64| {
-            let most = ((room / offer.size + 1e-6).floor().max(0.0)).min(f64::from(offer.tasks)) as u32;
-            if offer.whole && room > 0.0 { offer.tasks } else { most }
-        };
-        let (mut most, mut named) = (fits(left), Turn::Nth(turn));
+        let (mut most, mut named) = (fits(i, left), Turn::Nth(turn));
         if most > 0 {
             left -= f64::from(most) * offer.size;
-        } else if fits(spare) > 0 {
-            (most, named) = (fits(spare), Turn::Spare(turn));
+        } else if fits(i, spare) > 0 {
+            (most, named) = (fits(i, spare), Turn::Spare(turn));
             spare -= f64::from(most) * offer.size;
         } else if offer.begun {
             (most, named) = (offer.floor(), Turn::Spare(turn));
@@ -369,6 +419,7 @@
             tasks,
             whole: false,
             begun: false,
+            started: 0,
             size: 1.0,
             usable: f64::INFINITY,
             task_s: 10.0,
@@ -389,9 +440,11 @@
                     let (team, class) = (NAMES[rng.random_range(0..3)], NAMES[rng.random_range(0..3)]);
                     let one = offer(team, class, rng.random_range(0..3), i, rng.random_range(1..30));
                     let begun = rng.random_bool(0.2);
+                    let started = if begun || rng.random_bool(0.2) { rng.random_range(1..4) } else { 0 };
                     Offer {
                         whole: class == "blue",
                         begun,
+                        started,
                         due_s: nearest([rng.random_range(0.0..300.0)].into_iter(), 10.0),
                         ..one
                     }
@@ -421,7 +474,9 @@
                     })
                     .collect();
                 let has = |i: &usize| match verdicts[*i] {
-                    Verdict::Admitted { most, turn: Turn::Usual | Turn::Nth(_) } => f64::from(most),
+                    Verdict::Admitted { most, turn: Turn::Usual | Turn::Nth(_) | Turn::First } => {
+                        f64::from(most)
+                    }
                     _ => 0.0,
                 };
                 let spent: f64 = mine.iter().map(has).sum();
@@ -457,6 +512,65 @@
         assert_eq!((share("rush"), share("any")), (Some(30.0), Some(70.0)));
     }
 
+    /// Guards every job of a flood against waiting until it could be done: each has its first task within a
+    /// wait that follows from the jobs before it and the part kept for first tasks, and nearly as many are
+    /// done as the pool could do with nothing but the smallest.
+    #[test]
+    fn in_a_flood_each_job_has_a_first_task_soon_and_few_less_are_done() {
+        let (supply, task_s) = (160.0, 40u64);
+        let mut offers: Vec<Offer> = Vec::new();
+        let mut running: Vec<(u64, u64)> = Vec::new();
+        let mut waits: BTreeMap<u64, u64> = BTreeMap::new();
+        let (mut arrivals, mut done, mut sizes) = (0, 0, Vec::new());
+        for second in 0..800u64 {
+            if second < 200 {
+                arrivals += 1;
+                sizes.push(10 + (arrivals * 7 % 31) as u32);
+                let one = offer("red", "any", 1, arrivals, 10 + (arrivals * 7 % 31) as u32);
+                offers.push(Offer { task_s: task_s as f64, due_s: None, ..one });
+            }
+            for (arrival, _) in running.extract_if(.., |(_, end)| *end <= second) {
+                if let Some(o) = offers.iter_mut().find(|o| o.arrival == arrival) {
+                    o.tasks -= 1;
+                }
+            }
+            done += offers.extract_if(.., |o| o.tasks == 0).count();
+            for o in &mut offers {
+                o.begun = running.iter().any(|(arrival, _)| *arrival == o.arrival);
+            }
+            let (verdicts, _) = divide(&offers, supply, |_| Entitlement::default());
+            let mut turns: Vec<(Turn, usize, u32)> = Vec::new();
+            for (i, v) in verdicts.iter().enumerate() {
+                if let Verdict::Admitted { most, turn } = v {
+                    turns.push((*turn, i, *most));
+                }
+            }
+            turns.sort_by_key(|(turn, i, _)| (*turn, *i));
+            for (turn, i, most) in turns {
+                let o = &mut offers[i];
+                let here = running.iter().filter(|(arrival, _)| *arrival == o.arrival).count() as u32;
+                let more = if turn == Turn::First && o.started > 0 { 0 } else { most.saturating_sub(here) };
+                for _ in 0..more.min(o.tasks - here).min((supply as usize - running.len()) as u32) {
+                    running.push((o.arrival, second + task_s));
+                    o.started += 1;
+                    waits.entry(o.arrival).or_insert(second + 1 - o.arrival);
+                }
+            }
+        }
+        assert_eq!(waits.len(), 200, "jobs without a first task");
+        // Ten places of 40 s for 200 first tasks.
+        let longest = waits.values().max();
+        assert!(longest.is_some_and(|s| *s <= 800), "waited {longest:?} s");
+        sizes.sort_unstable();
+        let mut work = supply * 800.0 / task_s as f64;
+        let best = sizes.iter().take_while(|tasks| {
+            work -= f64::from(**tasks);
+            work >= 0.0
+        });
+        let best = best.count();
+        assert!(best < 160 && done * 10 >= best * 8, "{done} done of {best} that could be");
+    }
+
     /// A pool that works as it divides: how long a job of `tasks` takes beside an endless stream of
     /// others, in seconds; none if it has not ended.
     fn beside_a_stream(mut one: Offer<'static>, stream: fn(u64) -> Offer<'static>) -> Option<u64> {
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use marblewalk_admission::pool::Turn;
+
 use crate::bookkeeping::records::BlockRow;
 use crate::coordination::Controller;
 use crate::coordination::leader::Unplaced;
@@ -147,7 +149,10 @@
 
     /// The jobs that are to have more tasks than they have places, in order of precedence.
     fn short_jobs(&self, spots: &[Spot<'_>]) -> Vec<Short<'_>> {
-        let lacking = |j: &Job| u64::from(j.volume.saturating_sub(j.placed()));
+        let lacking = |j: &Job| match j.turn {
+            Turn::First if j.started() > 0 => 0,
+            _ => u64::from(j.volume.saturating_sub(j.placed())),
+        };
         let short = self.jobs.iter().filter(|(_, j)| lacking(j) > 0 && j.held_until <= self.now);
         let mut order: Vec<Short> = short
             .filter_map(|(id, job)| {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -460,7 +460,7 @@
                 let Verdict::Admitted { most, turn } = verdict else { continue };
                 let weight = match turn {
                     Turn::Usual => self.urgency(job),
-                    Turn::Nth(_) => URGENT * (1.0 + SMALL),
+                    Turn::First | Turn::Nth(_) => URGENT * (1.0 + SMALL),
                     Turn::Spare(_) => 1.0,
                 };
                 let priority = job.spec.priority.weight() * weight;
@@ -505,6 +505,7 @@
                 tasks: job.unfinished(),
                 whole: spec.shape != Shape::Array,
                 begun: !job.on.is_empty(),
+                started: job.started(),
                 size,
                 usable,
                 task_s: spec.estimate_s,
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -109,6 +109,11 @@
         self.placed
     }
 
+    /// Tasks that are somewhere, or may be, or are done.
+    pub fn started(&self) -> u32 {
+        self.placed + self.done.len()
+    }
+
     /// Adds completions that the store holds.
     pub fn merge(&mut self, chunk: usize, value: &serde_json::Value) {
         self.stored.merge(chunk, value, self.spec.tasks);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -155,7 +155,12 @@
         // Without a leader's word for a while, work goes on inside the blocks that are held.
         let unheard =
             self.leader_silent() && self.now.since(job.since) > Micros::from_secs_f64(self.tuning.round_s);
-        if unheard { job.unfinished() } else { job.volume.min(job.unfinished()) }
+        match job.turn {
+            _ if unheard => job.unfinished(),
+            // It has had its first task; the place is another's when that ends.
+            Turn::First if job.started() > 0 => job.placed().min(job.volume),
+            _ => job.volume.min(job.unfinished()),
+        }
     }
 
     /// Who comes first: by rank, then by the turn that the leader has named, if there is not room for
@@ -166,6 +171,7 @@
         let rank = u8::MAX - job.spec.priority as u8;
         match job.turn {
             Turn::Usual => {}
+            Turn::First => return Precedence(rank, 0, 0, job.stamp),
             Turn::Nth(turn) => return Precedence(rank, 1, turn, job.stamp),
             Turn::Spare(turn) => return Precedence(rank, u8::MAX, turn, job.stamp),
         }
