A new job looks for its tasks where strangers are known, not through all machines

Change: machines with tasks of jobs that have no record are kept by job, in step with the machines' tasks; a new record looks there. The leader's volumes are looked up by hash and not copied for each controller.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -368,17 +368,11 @@
         let round = self.lead.as_ref().map_or(0, |l| l.round);
         let kept = self.choose_kept();
         let surplus = self.find_surplus(&volumes);
-        let message = PeerMessage::Volumes {
-            leader,
-            round,
-            volumes: volumes.clone(),
-            kept: kept.clone(),
-            reserved: self.reserved.clone(),
-            surplus: surplus.clone(),
-        };
-        self.effects.push(Effect::Send(None, message));
         let reserved = self.reserved.clone();
-        self.take_volumes(volumes, kept, reserved);
+        self.take_volumes(&volumes, kept.clone(), reserved.clone());
+        let message =
+            PeerMessage::Volumes { leader, round, volumes, kept, reserved, surplus: surplus.clone() };
+        self.effects.push(Effect::Send(None, message));
         self.stop_surplus(&surplus);
         if self.lead.as_ref().is_some_and(|l| l.granting) {
             return;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -281,6 +281,9 @@
     pub(crate) shards: BTreeMap<usize, (Block, u64)>,
     /// Jobs that are over while tasks of theirs may still be somewhere.
     pub(crate) retired: BTreeMap<String, Job>,
+    /// Machines with tasks of jobs that this controller has no record of: not yet, or no more. Each new record
+    /// looks here rather than through all machines.
+    pub(crate) strangers: HashMap<String, BTreeSet<String>>,
     /// What jobs that have lately left the records may still take: since when, team and amount.
     pub(crate) removed: VecDeque<(Micros, String, Resources)>,
     /// Teams whose limits must be counted, as of the present pass.
@@ -388,6 +391,7 @@
             quota: Default::default(),
             shards: BTreeMap::new(),
             retired: BTreeMap::new(),
+            strangers: HashMap::new(),
             removed: VecDeque::new(),
             bound: BTreeSet::new(),
             rentals: BTreeMap::new(),
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -1,6 +1,6 @@
 //! An owner's placement of its own jobs on its own machines, and the record of what they complete.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use marblewalk_admission::pool::Turn;
 
@@ -791,19 +791,19 @@
     /// The leader's volumes. A job it does not name is not admitted.
     pub(super) fn take_volumes(
         &mut self,
-        volumes: Vec<Volume>,
+        volumes: &[Volume],
         kept: Vec<(String, String)>,
         reserved: Vec<(String, String)>,
     ) {
         self.kept = kept.into_iter().collect();
         self.reserved = reserved;
         self.volumes_heard = self.now;
-        let named: BTreeMap<String, (u32, Turn)> =
-            volumes.into_iter().map(|v| (v.job, (v.tasks, v.turn))).collect();
+        let named: HashMap<&str, (u32, Turn)> =
+            volumes.iter().map(|v| (v.job.as_str(), (v.tasks, v.turn))).collect();
         #[cfg(test)]
         let alone = self.alone;
         for (id, job) in &mut self.jobs {
-            (job.volume, job.turn) = named.get(id).copied().unwrap_or_default();
+            (job.volume, job.turn) = named.get(id.as_str()).copied().unwrap_or_default();
             #[cfg(test)]
             if alone {
                 (job.volume, job.turn) = (job.unfinished(), Turn::Usual);
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -57,6 +57,7 @@
         self.placing = false;
         self.taking_over = false;
         self.retired.clear();
+        self.strangers.clear();
         self.removed.clear();
         self.refusals.clear();
         self.turned.clear();
@@ -158,12 +159,14 @@
                 }
                 let mut job_state = Job::new(spec, stamp, self.now);
                 job_state.owner = self.owner_of(job);
+                // A holder may have told of its tasks before its record came.
                 let (first, need) = (TaskId::new(job, 0), job_state.spec.need());
-                for (name, machine) in &mut self.machines {
+                for name in self.strangers.remove(job).unwrap_or_default() {
+                    let Some(machine) = self.machines.get_mut(&name) else { continue };
                     let here = machine.tasks.range_mut(first.clone()..);
                     for (id, t) in here.take_while(|(id, _)| id.job == job) {
                         t.need = need;
-                        job_state.put_on(id.index, name);
+                        job_state.put_on(id.index, &name);
                     }
                 }
                 self.jobs.insert(job.to_owned(), job_state);
@@ -416,11 +419,22 @@
         for id in before.keys().filter(|id| !after.contains_key(*id)) {
             if let Some(job) = self.jobs.get_mut(&id.job).or_else(|| self.retired.get_mut(&id.job)) {
                 job.take_off(id.index, name);
+            } else if let Some(places) = self.strangers.get_mut(&id.job)
+                && !after.keys().any(|t| t.job == id.job)
+            {
+                places.remove(name);
+                if places.is_empty() {
+                    self.strangers.remove(&id.job);
+                }
             }
         }
         for id in after.keys().filter(|id| !before.contains_key(*id)) {
             if let Some(job) = self.jobs.get_mut(&id.job).or_else(|| self.retired.get_mut(&id.job)) {
                 job.put_on(id.index, name);
+            } else if let Some(places) = self.strangers.get_mut(&id.job) {
+                places.insert(name.to_owned());
+            } else {
+                self.strangers.insert(id.job.clone(), [name.to_owned()].into());
             }
         }
     }
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -206,7 +206,7 @@
             PeerMessage::Plan(plan) => self.plan_said(&plan),
             PeerMessage::Volumes { leader, volumes, kept, reserved, surplus, .. } => {
                 if self.leader.as_ref().is_some_and(|l| l.0 == from && l.2 == leader) {
-                    self.take_volumes(volumes, kept, reserved);
+                    self.take_volumes(&volumes, kept, reserved);
                     self.stop_surplus(&surplus);
                 }
             }
