Parts of a team's limit that are too small to start anything are given up

Change: the division is told the least that lets a controller start something more, a task or a gang whole. Nobody grows by less, and where others lack room, what is less is given up for the next division.

Ruled out: shrinking everybody in turn (a change of the store in each round).

--- a/src/coordination/allotments.rs
+++ b/src/coordination/allotments.rs
@@ -9,6 +9,8 @@
     pub uses: u64,
     /// What its jobs could use.
     pub wishes: u64,
+    /// The least that lets any of them start something more: a task, or a gang as a whole.
+    pub step: u64,
 }
 
 /// What each controller may use from now on. `fresh`: no division is in force, so each begins with what it
@@ -31,13 +33,16 @@
     let lacking: u64 = next.iter().zip(parts).map(|(n, p)| p.wishes.saturating_sub(*n)).sum();
     let scarce = lacking > spare;
     for (next, part) in next.iter_mut().zip(parts) {
-        if part.wishes > *next {
-            let grow = (part.wishes - *next).min(spare);
+        // Less than a step would lie idle: three gangs of fifteen each kept thirteen of forty for ever.
+        let helps = |has: u64| has.saturating_sub(part.uses) >= part.step;
+        let grow = part.wishes.saturating_sub(*next).min(spare);
+        if grow > 0 && helps(*next + grow) {
             *next += grow;
             spare -= grow;
-        } else if scarce {
-            // Others lack room: what is not wished for is given up, for the next division.
-            *next = (*next).min(part.wishes.max(part.uses));
+        } else if scarce && !(part.wishes > *next && helps(*next)) {
+            // Others lack room: what is not wished for, or of no use, is given up, for the next division.
+            let kept = if part.wishes > *next { part.uses } else { part.wishes.max(part.uses) };
+            *next = (*next).min(kept);
         }
     }
     next
@@ -61,6 +66,7 @@
             for _ in 0..20 {
                 for p in &mut parts {
                     p.wishes = rng.random_range(0..30_000);
+                    p.step = rng.random_range(0..8_000);
                     // Work ends, and while jobs change hands it may count in several places.
                     let most = if fresh { 20_000 } else { p.has.max(p.uses) };
                     p.uses = rng.random_range(0..=most);
@@ -76,4 +82,21 @@
             }
         }
     }
+
+    /// Guards against a limit of which every controller holds a part that is too small for its gang: none gave
+    /// up what it could not use, and no gang ever started.
+    #[test]
+    fn parts_too_small_to_start_anything_are_given_to_one_that_can() {
+        let gang = |has, step| Part { has, uses: 0, wishes: step, step };
+        let mut parts = vec![gang(14, 15), gang(12, 16), gang(14, 15)];
+        for _ in 0..3 {
+            let next = divide(40, false, &parts);
+            assert!(next.iter().sum::<u64>() <= 40);
+            parts.iter_mut().zip(next).for_each(|(p, n)| p.has = n);
+        }
+        let able = parts.iter().filter(|p| p.has >= p.step).count();
+        assert_eq!(able, 2, "{parts:?}");
+        let before: Vec<u64> = parts.iter().map(|p| p.has).collect();
+        assert_eq!(divide(40, false, &parts), before, "parts go to and fro");
+    }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -720,7 +720,9 @@
             let owned = |j: &&Job| j.owner.as_deref() == Some(member) && j.spec.team == team.name;
             let wish = |j: &Job| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32));
             let wishes = self.jobs.values().filter(owned).map(wish).sum();
-            Part { has, uses, wishes }
+            let short = self.jobs.values().filter(|j| j.volume > j.placed()).filter(owned);
+            let step = short.map(|j| amount(j.spec.need()) * u64::from(j.spec.floor())).min().unwrap_or(0);
+            Part { has, uses, wishes, step }
         };
         let parts: Vec<Part> = self.view.members.iter().map(part).collect();
         allotments::divide((limit * 1e3) as u64, fresh, &parts)
