--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -1,6 +1,6 @@
 //! Workers' reports: whose they are, what they prove, and the orders that answer them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::bookkeeping::records;
 use crate::coordination::model::{Machine, Pending, TaskOn};
@@ -355,18 +355,14 @@
 
     /// Takes back planned starts of jobs that are over or have another owner by now.
     fn drop_disowned(&mut self, name: &str) {
-        let planned = |m: &Machine| m.tasks.values().any(|t| t.pending == Some(Pending::Planned));
-        if !self.machines.get(name).is_some_and(planned) {
-            return;
-        }
         let me = self.settings.member.as_str();
-        let ours: BTreeSet<String> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.owner.as_deref() == Some(me))
-            .map(|(id, _)| id.clone())
-            .collect();
-        self.drop_planned(name, |id| !ours.contains(&id.job));
+        let Some(machine) = self.machines.get(name) else { return };
+        let planned = machine.tasks.iter().filter(|(_, t)| t.pending == Some(Pending::Planned));
+        let foreign = |id: &TaskId| self.jobs.get(&id.job).is_none_or(|j| j.owner.as_deref() != Some(me));
+        let disowned: Vec<TaskId> = planned.map(|(id, _)| id).filter(|id| foreign(id)).cloned().collect();
+        if !disowned.is_empty() {
+            self.drop_planned(name, |id| disowned.contains(id));
+        }
     }
 
     /// Sends what is planned, and what is to be stopped, straight to the workers, rather than with the
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, Allotment, FinalRecord};
 use crate::coordination::model::{Job, Machine, Pending, TaskOn};
-use crate::coordination::{Controller, Purpose, rules};
+use crate::coordination::{ByName, Controller, Purpose, rules};
 use crate::protocol::job::{Final, JobSpec, Shape};
 use crate::protocol::peer::Volume;
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
@@ -122,9 +122,9 @@
 
 /// Room on the machines that an owner may use, during one pass.
 struct Rooms {
-    free: BTreeMap<String, Resources>,
+    free: ByName<Resources>,
     /// What there will be once all that is being stopped has gone, less what has been counted on.
-    soon: BTreeMap<String, Resources>,
+    soon: ByName<Resources>,
     cards: Cards,
     reserved: Vec<(String, String)>,
 }
@@ -144,7 +144,7 @@
 impl Controller {
     /// This controller's own job, fully taken over.
     fn places(&self, job: &Job) -> bool {
-        job.owner.as_deref() == Some(self.me()) && !job.adopting && !job.completing
+        !job.adopting && !job.completing && job.owner.as_deref() == Some(self.me())
     }
 
     fn leader_silent(&self) -> bool {
@@ -211,7 +211,8 @@
         }
         let mut order: Vec<(Precedence, bool, String)> = Vec::new();
         for (id, job) in &self.jobs {
-            if self.places(job) && job.held_until <= self.now && job.placed() < self.wanted(job) {
+            // A job that the leader does not name is not even asked whose it is, unless there is no leader.
+            if job.held_until <= self.now && job.placed() < self.wanted(job) && self.places(job) {
                 let precedence = self.precedence(job);
                 order.push((precedence, false, id.clone()));
                 // Of jobs that all have their turn, each first takes the machines that have its image:
@@ -235,7 +236,7 @@
         let soon = if order.iter().any(|(_, _, id)| displaces(id)) {
             usable().map(|(name, m)| (name.clone(), m.free_soon())).collect()
         } else {
-            BTreeMap::new()
+            ByName::default()
         };
         let reserved = if self.leader_silent() { Vec::new() } else { self.reserved.clone() };
         let mut rooms = Rooms {
@@ -293,7 +294,7 @@
                 .max_by_key(|(_, room, m)| room.cpu * 1000 / m.supply.cpu.max(1))
                 .map(|(name, ..)| name.clone());
             if let Some(name) = best {
-                rooms.free.remove(&name);
+                rooms.free.shift_remove(&name);
             }
         }
     }
@@ -864,13 +865,14 @@
         let me = self.settings.member.clone();
         let now = self.now;
         // Nothing is lost while what has ended waits for its record, so many jobs take turns.
-        let dirty = self.jobs.values().filter(|j| j.owner.as_deref() == Some(&me) && !j.dirty.is_empty());
+        let dirty = self.jobs.values().filter(|j| !j.dirty.is_empty() && j.owner.as_deref() == Some(&me));
         let turn = dirty.count() as f64 / (self.calls.writes_per_s() * PROGRESS_SHARE);
         let spacing = Micros::from_secs_f64(turn).max(Micros::from_millis(1_500));
         let mine: Vec<String> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.owner.as_deref() == Some(&me) && !j.completing)
+            .filter(|(_, j)| !j.completing && (!j.dirty.is_empty() || j.unfinished() == 0))
+            .filter(|(_, j)| j.owner.as_deref() == Some(&me))
             .filter(|(_, j)| match j.unfinished() {
                 0 => j.ending.ready(now),
                 _ => !j.dirty.is_empty() && !j.writing && j.progress_at <= now,
