--- a/src/coordination/simulation/measure.rs
+++ b/src/coordination/simulation/measure.rs
@@ -15,9 +15,19 @@
     changes: i64,
 }
 
-/// A loaded cluster in which a hundredth of the machines dies, and a second later one controller ends, or
-/// all do.
-fn takeover(machines: usize, controllers: usize, all: bool) -> Cost {
+/// Who ends, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ended {
+    /// One stays away.
+    One,
+    /// One is back after 0.3 s.
+    Back,
+    /// All, each back after 0.05 to 7 s.
+    All,
+}
+
+/// A loaded cluster in which a hundredth of the machines dies, and a second later controllers end.
+fn takeover(machines: usize, controllers: usize, ended: Ended) -> Cost {
     let mut world = World::sized(9, Trouble::default(), Size { controllers, machines });
     // Limits as a deployment of this size has them.
     for settings in &mut world.settings {
@@ -46,15 +56,18 @@
     }
     world.run(Micros::from_secs(51));
     let start = world.now;
-    if all {
-        (0..controllers).for_each(|n| world.crash(n));
-    } else {
-        world.controllers[controllers - 1] = None;
-        world.lives[controllers - 1] += 1;
+    match ended {
+        Ended::All => (0..controllers).for_each(|n| world.crash(n)),
+        Ended::Back => world.crash_for(controllers - 1, Micros::from_millis(300)),
+        Ended::One => {
+            world.controllers[controllers - 1] = None;
+            world.lives[controllers - 1] += 1;
+        }
     }
+    let all = ended == Ended::All;
     let old: Vec<(String, u64)> =
         world.controllers.iter().flatten().next().map_or_else(Vec::new, |c| c.view.members.clone());
-    let count = if all { controllers } else { controllers - 1 };
+    let count = if ended == Ended::One { controllers - 1 } else { controllers };
     let before = world.store.log.len() as i64;
     let mut cost = Cost { view: 0.0, first: 0.0, last: 0.0, held: 0.0, changes: 0 };
     let step = Micros::from_millis(50);
@@ -95,12 +108,11 @@
 #[ignore = "prints figures; takes some minutes"]
 fn measure_takeovers() {
     println!("machines ended view_s first_s last_s held_task_s changes");
-    for machines in [100, 500, 1_400] {
-        for all in [false, true] {
-            let c = takeover(machines, 7, all);
-            let ended = if all { "all" } else { "one" };
+    for machines in [100, 500, 1_400, 2_100] {
+        for ended in [Ended::One, Ended::Back, Ended::All] {
+            let c = takeover(machines, 7, ended);
             println!(
-                "{machines} {ended} {:.2} {:.2} {:.2} {:.0} {}",
+                "{machines} {ended:?} {:.2} {:.2} {:.2} {:.0} {}",
                 c.view, c.first, c.last, c.held, c.changes
             );
         }
