A machine that the cloud's list passes over is gone: nobody waits for it after an end of all

Need: after an end of all controllers all jobs went on after 12.3 s (ends at 1.5 times the machines, back after 0.2 s). The last to be cleared, 64 of them, were machines that the cloud had taken: without an address nobody could ask them, and they were returned only when their reports were long overdue.

Change: names come in the order of creation, and an answer of the list describes one moment. So a machine whose name lies between a page's first and last and is not in it had been created by then and was no more. If no report of it is fresh either it is returned, also by a leader that has just begun.

Ruled out: taking absence alone for proof (a list may be older than the machine); the age of machines in the records (a larger row, and a new form of it). The new test takes 4 s for what took longer than a report's interval and 3 s.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -51,6 +51,10 @@
 pub(crate) struct Fleet {
     pub listing: bool,
     pub listed_at: Option<Micros>,
+    /// After which name the page that is asked for begins.
+    pub listed_to: String,
+    /// Machines that a page of the list passes over.
+    pub gone: BTreeSet<String>,
     /// Refused type, zone and kind: until when, and how often in a row.
     pub refused: BTreeMap<(String, String, bool), (Micros, u32)>,
     /// Rentals on their way, by request name.
@@ -176,6 +180,8 @@
         if !lead.fleet.listing && lead.fleet.listed_at.is_none_or(|at| now.since(at) >= LIST_EVERY) {
             lead.fleet.listing = true;
             lead.fleet.listed_at = Some(now);
+            lead.fleet.listed_to.clear();
+            lead.fleet.gone.retain(|name| self.machines.contains_key(name));
             self.cloud(Urgency::Rest, CloudPurpose::List, CloudCall::List { after: String::new() });
         }
         self.repeat_rentals();
@@ -210,12 +216,21 @@
         }
     }
 
+    /// Whether the cloud lists a machine no more, and nobody has heard it since a report was due.
+    fn is_gone(&self, name: &str, m: &Machine) -> bool {
+        let passed_over = self.lead.as_ref().is_some_and(|l| l.fleet.gone.contains(name));
+        let heard = m.resolved && f64::from(self.dark(m)) <= self.latest_report().as_secs_f64();
+        passed_over && !heard
+    }
+
     /// Why a machine should be returned, if so.
     fn unwanted(&self, name: &str, m: &Machine, idle_most: Micros) -> Option<&'static str> {
         let boot = || self.types.get(&m.row.kind).map_or(60.0, |t| t.boot_s);
         let lease_s = self.worker_lease.as_secs_f64() as u32;
         let failed = self.lead.as_ref().is_some_and(|l| l.fleet.failed.contains(name));
-        if failed {
+        if self.is_gone(name, m) {
+            Some("gone")
+        } else if failed {
             Some("failed")
         } else if m.unused() && self.now.since(m.since).as_secs_f64() > boot() * 2.2 + 10.0 {
             Some("slow to boot")
@@ -313,12 +328,15 @@
         let idle_most = Micros::from_secs_f64(self.tuning.idle_return_s * patience);
         let mut idle_names = Vec::new();
         let mut names = Vec::new();
-        if self.lead.as_ref().is_none_or(|l| l.granting || self.now.since(l.since) < Micros::from_secs(4)) {
+        let Some(lead) = self.lead.as_ref().filter(|l| !l.granting) else { return };
+        // A new leader hears the others first, but what is gone holds jobs back until it leaves the records.
+        let new = self.now.since(lead.since) < Micros::from_secs(4);
+        if new && lead.fleet.gone.is_empty() {
             return;
         }
         let unreachable = self.unreachable();
         for (name, m) in &self.machines {
-            if m.row.returning {
+            if m.row.returning || new && !self.is_gone(name, m) {
                 continue;
             }
             let why = unreachable.contains(name).then_some("unreachable");
@@ -929,7 +947,10 @@
         }
     }
 
-    /// The list lags, so it proves only what it shows: machines to record, and failures.
+    /// The list lags, so it proves only what it shows: machines to record, and failures. And this: names come
+    /// in the order of creation, so a machine whose name a page passes over, from its first to its last, had
+    /// been created by the time that the page describes, and was no more. After an end of all controllers
+    /// such machines could be asked by nobody, for their addresses were lost, and held all jobs back.
     fn listed(&mut self, list: MachineList) {
         let lag = Micros::from_secs_f64(self.settings.params.cloud.list_lag_s * 2.0 + 5.0);
         let last = list.machines.last().map(|m| m.id.clone());
@@ -944,6 +965,18 @@
             self.effects.push(Effect::Send(None, PeerMessage::Addresses(addresses)));
         }
         let Some(lead) = &mut self.lead else { return };
+        if let Some(last) = &last {
+            let first = std::mem::replace(&mut lead.fleet.listed_to, last.clone());
+            let there: BTreeSet<&String> = list.machines.iter().map(|m| &m.id).collect();
+            let within = |name: &&String| **name > first && *name < last;
+            for name in self.machines.keys().filter(within) {
+                if there.contains(name) {
+                    lead.fleet.gone.remove(name);
+                } else {
+                    lead.fleet.gone.insert(name.clone());
+                }
+            }
+        }
         for m in list.machines {
             if m.state == ListedState::Failed {
                 lead.fleet.failed.insert(m.id.clone());
--- a/src/coordination/simulation/returns.rs
+++ b/src/coordination/simulation/returns.rs
@@ -132,3 +132,22 @@
         all_over(&mut world, seed);
     }
 }
+
+/// Guards jobs against machines that the cloud took while no controller was there: nobody knows their
+/// addresses any more, so that nobody could ask them, and all jobs waited until their reports were long due.
+/// The cloud's list passes them over.
+#[test]
+fn after_an_end_of_all_no_job_waits_for_machines_that_the_list_passes_over() {
+    for seed in 0..4 {
+        let mut world = busy(120 + seed, Trouble::default(), 300);
+        let used = world.workers.iter().filter(|(_, w)| !w.tasks.is_empty()).map(|(name, _)| name.clone());
+        let taken: Vec<String> = used.take(4).collect();
+        (0..3).for_each(|n| world.crash_for(n, Micros::from_millis(200)));
+        taken.iter().for_each(|name| drop(world.workers.remove(name)));
+        world.run(world.now + Micros::from_secs(4));
+        for c in world.controllers.iter().flatten() {
+            assert!(c.placing && !c.taking_over, "seed {seed}: {} waits for {:?}", c.me(), c.unresolved);
+        }
+        all_over(&mut world, seed);
+    }
+}
