Tasks of jobs that were over before their owner came back count against every limit

A job had been withdrawn before its owner joined; the others, which had its record, leave the count to the owner, which never had one. Its eight processors ran on for some seconds, and the owner's jobs started as many more.

Change: an owner counts, for each team, what the others' tasks leave of a machine with tasks of jobs that hash to it and have no record, until they have ended.

Ruled out: sending the descriptions of such jobs with testimony (other ways into the books would stay open).

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -778,7 +778,17 @@
         };
         let places = |j: &Job| j.on.values().map(|p| p.len() as u64).sum::<u64>();
         let over = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), places(j)));
-        live.chain(over).fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
+        // Of a job that was over before this controller joined it knows neither team nor size. Its tasks may be
+        // any team's, and take all that the others leave of their machines: a controller that was back at once
+        // did not count eight processors of a withdrawn job that still ran, and started as many more.
+        let unknown = self.strangers.iter().filter(|(id, _)| self.owner_of(id).as_deref() == Some(self.me()));
+        let hosts: BTreeSet<&String> = unknown.flat_map(|(_, hosts)| hosts).collect();
+        let there =
+            |m: &&Machine| m.tasks.iter().any(|(id, t)| !t.ended() && self.strangers.contains_key(&id.job));
+        let hosts = hosts.into_iter().filter_map(|name| self.machines.get(name)).filter(there);
+        let unknown = hosts.map(|m| (m.free(), 1));
+        let all = live.chain(over).chain(unknown);
+        all.fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
     }
 
     pub(super) fn usage(&self) -> Vec<(String, u64, u64)> {
--- a/src/coordination/simulation/returns.rs
+++ b/src/coordination/simulation/returns.rs
@@ -151,3 +151,24 @@
         all_over(&mut world, seed);
     }
 }
+
+/// Guards a team's limit against tasks of a job that was over before its owner came back: the owner has no
+/// record of it, and counts all that its tasks may take.
+#[test]
+fn tasks_of_jobs_that_were_over_before_count_against_the_limit() {
+    let mut world = busy(140, Trouble::default(), 300);
+    let c = world.controllers[0].as_mut().unwrap();
+    let before = c.usage();
+    let (name, free) =
+        c.machines.iter().find(|(_, m)| m.free().cpu > 0).map(|(n, m)| (n.clone(), m.free())).unwrap();
+    let stranger = (0..).map(|n| format!("j-9{n:05}")).find(|id| c.owner_of(id).as_deref() == Some(c.me()));
+    let mut tasks = c.machines[&name].tasks.clone();
+    let some = c.machines.values().flat_map(|m| m.tasks.values()).find(|t| !t.ended()).unwrap().clone();
+    tasks.insert(
+        TaskId::new(&stranger.unwrap(), 0),
+        super::super::model::TaskOn { need: Resources::default(), ..some },
+    );
+    c.set_tasks(&name, tasks);
+    let team = |usage: &[(String, u64, u64)]| usage.iter().find(|u| u.0 == "blue").map(|u| u.1).unwrap();
+    assert_eq!(team(&c.usage()), team(&before) + free.cpu);
+}
