The seeded cluster: troubles of store and controllers are spells, several at once

The rig could not bring a meeting about: one controller at most was refused, isolated or stood still at a time, outages lasted at most 20 s, a watch was answered at once. Now a spell has its kind, whom it hits and its end, any number may hold, also of one kind, and one may begin later. Watches are held as the store holds them, and stay open through an outage or a refusal. Further troubles: a store that takes its time, a watch that hangs, transactions without an answer that are carried out 2 to 12 s later (counted where a newer one came before), a leader that is refused before an outage of all longer than cancel_s, users whom the balancer has elsewhere, withdrawals of any share of the jobs.

--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -15,6 +15,7 @@
 mod returns;
 mod rules;
 mod services;
+mod spells;
 mod store;
 mod takeovers;
 mod troubles;
@@ -28,6 +29,7 @@
 use serde_json::Value;
 
 use network::Asked;
+use spells::Spell;
 use store::Store;
 use troubles::Trouble;
 use users::Wish;
@@ -64,6 +66,14 @@
         id: CallId,
         call: StoreCall,
     },
+    /// A watch that is open at the store, since then.
+    Watch {
+        node: usize,
+        life: u64,
+        id: CallId,
+        call: StoreCall,
+        since: Micros,
+    },
     CloudCall {
         node: usize,
         life: u64,
@@ -87,6 +97,7 @@
         job: String,
         withdraw: bool,
         answer: Answer,
+        by: usize,
     },
     Orders {
         node: usize,
@@ -98,7 +109,13 @@
         machine: String,
         orders: DirectOrders,
     },
-    LateCommit(Transaction),
+    LateCommit {
+        node: usize,
+        sent: Micros,
+        transaction: Transaction,
+    },
+    /// A spell begins, until then.
+    Befalls(Spell, Micros),
 }
 
 struct Scheduled(Micros, u64, Happening);
@@ -119,6 +136,18 @@
     }
 }
 
+/// What a run has met: a test that brings a meeting about asserts that it did.
+#[derive(Debug, Default)]
+struct Met {
+    /// Transactions without an answer that were carried out after newer ones of the same controller.
+    late_commits: u32,
+    /// Copies of reports that came after newer reports of the machine, and of those the ones of an earlier session.
+    late_copies: u32,
+    earlier_sessions: u32,
+    /// Orders that were carried out more than a second after they were sent.
+    late_orders: u32,
+}
+
 #[derive(Clone, Copy)]
 struct Size {
     controllers: usize,
@@ -138,11 +167,8 @@
     requests: HashMap<(usize, u64, RequestId), Asked>,
     next_request: RequestId,
     store: Store,
-    store_down: Micros,
-    refused_node: Option<(usize, Micros)>,
-    apart: Option<(usize, usize, Micros)>,
-    /// Until when no controller reaches another.
-    all_apart: Micros,
+    /// What has befallen the store and the controllers, and until when.
+    spells: Vec<(Spell, Micros)>,
     cloud_down: Micros,
     charters: BTreeMap<String, Vec<String>>,
     next_machine: u32,
@@ -153,10 +179,11 @@
     trouble: Trouble,
     started: u32,
     calm_after: Micros,
-    /// A controller that stands still: what comes for it waits.
-    frozen: Option<(usize, Micros)>,
-    /// A controller that reaches neither the store nor the others.
-    isolated: Option<(usize, Micros)>,
+    /// A controller that users do not get to: the balancer has them elsewhere.
+    passed_over: Option<usize>,
+    /// When each controller's newest transaction was carried out, by when it was sent.
+    newest_commit: Vec<Micros>,
+    met: Met,
     /// Jobs that fail wherever they run.
     mistaken: BTreeSet<String>,
     /// Calls that have reached the store, or would have.
@@ -224,10 +251,7 @@
             requests: HashMap::new(),
             next_request: 1,
             store,
-            store_down: Micros::ZERO,
-            refused_node: None,
-            apart: None,
-            all_apart: Micros::ZERO,
+            spells: Vec::new(),
             cloud_down: Micros::ZERO,
             charters: BTreeMap::new(),
             next_machine: 0,
@@ -238,8 +262,9 @@
             trouble,
             started: 0,
             calm_after: Micros::MAX,
-            frozen: None,
-            isolated: None,
+            passed_over: None,
+            newest_commit: vec![Micros::ZERO; size.controllers],
+            met: Met::default(),
             mistaken: BTreeSet::new(),
             store_calls: 0,
             careless: false,
@@ -292,14 +317,6 @@
         self.now = until;
     }
 
-    fn stands_still(&self, node: usize) -> bool {
-        self.frozen.is_some_and(|(n, until)| n == node && self.now < until)
-    }
-
-    fn is_isolated(&self, node: usize) -> bool {
-        self.isolated.is_some_and(|(n, until)| n == node && self.now < until)
-    }
-
     fn happen(&mut self, what: Happening) {
         match what {
             Happening::Start(n) => {
@@ -315,9 +332,9 @@
             Happening::Tick(n)
             | Happening::ToController { node: n, .. }
             | Happening::Copy { node: n, .. }
-                if self.stands_still(n) =>
+                if self.under(Spell::StandsStill(n)) =>
             {
-                let (_, until) = self.frozen.unwrap_or_default();
+                let until = self.until(Spell::StandsStill(n));
                 self.at(until, what);
             }
             Happening::Tick(n) => {
@@ -340,37 +357,17 @@
             Happening::StoreCall { node, life, id, call } => {
                 self.store_calls += 1;
                 self.changes.push((self.now, call.writes()));
-                let refused = self.now < self.store_down
-                    || self.refused_node.is_some_and(|(n, until)| n == node && self.now < until);
-                let reply = if self.is_isolated(node) {
-                    StoreReply::Unclear
-                } else if refused {
-                    StoreReply::Refused
-                } else if self.lost() {
-                    // Lost on the way there, on the way back, or held up and applied much later.
-                    if let StoreCall::Commit(t) = &call {
-                        let late = self.trouble.late;
-                        if self.odds(late) {
-                            self.soon(S, 60 * S, Happening::LateCommit(t.clone()));
-                        }
-                    } else if self.rng.random_bool(0.5) {
-                        self.store.call(self.now, &call);
-                    }
-                    StoreReply::Unclear
-                } else {
-                    self.store.call(self.now, &call)
-                };
-                let event = Event::Store(id, reply);
-                self.soon(MS, 12 * MS, Happening::ToController { node, life, event });
+                self.at_the_store(node, life, id, call, self.now);
+            }
+            Happening::Watch { node, life, id, call, since } => {
+                self.at_the_store(node, life, id, call, since)
             }
             Happening::Copy { node, report } => {
                 self.next_request += 1;
                 self.tell(node, Event::Report(self.next_request - 1, report));
             }
-            Happening::LateCommit(t) => {
-                self.store.expire(self.now);
-                self.store.commit(t);
-            }
+            Happening::LateCommit { node, sent, transaction } => self.late_commit(node, sent, transaction),
+            Happening::Befalls(spell, until) => self.befalls(spell, until),
             Happening::CloudCall { node, life, id, call } => {
                 let reply = if self.now < self.cloud_down { CloudReply::Unclear } else { self.cloud(&call) };
                 let reply = if self.lost() { CloudReply::Unclear } else { reply };
@@ -389,7 +386,9 @@
                 self.report_answered(machine, session, tally, answer);
             }
             Happening::User(job) => self.user_turn(job),
-            Happening::UserAnswered { job, withdraw, answer } => self.user_answered(job, withdraw, answer),
+            Happening::UserAnswered { job, withdraw, answer, by } => {
+                self.user_answered(job, withdraw, answer, by)
+            }
         }
     }
 }
--- a/src/coordination/simulation/evictions.rs
+++ b/src/coordination/simulation/evictions.rs
@@ -19,7 +19,7 @@
         world.submit(JobSpec { tasks: 1_000, team: "green".into(), ..job });
     }
     world.run(Micros::from_secs(25));
-    world.all_apart = Micros::from_secs(50);
+    world.befalls(Spell::AllApart, Micros::from_secs(50));
     world.run(Micros::from_secs(55));
     assert_eq!(evictions(&world), 0, "evicted for a packet filter's refusals");
     assert!(world.controllers.iter().flatten().all(|c| c.counters.rejoins == 0));
@@ -75,11 +75,11 @@
         }
         world.run(Micros::from_secs(25));
         let n = seed as usize % 3;
-        world.frozen = Some((n, world.now + Micros::from_secs(3)));
+        world.befalls(Spell::StandsStill(n), world.now + Micros::from_secs(3));
         world.run(world.now + Micros::from_secs(8));
         assert_eq!(evictions(&world), 0, "seed {seed}: evicted for a moment's silence");
         world.run(world.now + Micros::from_secs(15));
-        world.frozen = Some((n, world.now + Micros::from_secs(25)));
+        world.befalls(Spell::StandsStill(n), world.now + Micros::from_secs(25));
         world.run(world.now + Micros::from_millis(10_500));
         let left = world.controllers.iter().flatten().filter(|c| c.me() != world.settings[n].member);
         let without = |c: &Controller| c.view.members.len() == 2 && !c.taking_over;
--- a/src/coordination/simulation/fleets.rs
+++ b/src/coordination/simulation/fleets.rs
@@ -136,8 +136,7 @@
     assert_eq!(lapses(&world), 0);
     let busy = world.workers.iter().find(|(_, w)| !w.tasks.is_empty()).unwrap().0.clone();
     world.workers.get_mut(&busy).unwrap().cut_until = Micros::from_secs(90);
-    world.store_down = Micros::from_secs(50);
-    world.store.regain(Micros::from_secs(50));
+    world.befalls(Spell::StoreDown, Micros::from_secs(50));
     world.run(Micros::from_secs(50));
     assert_eq!(lapses(&world), 0, "concluded without a word from the store");
     world.run(Micros::from_secs(60));
--- a/src/coordination/simulation/network.rs
+++ b/src/coordination/simulation/network.rs
@@ -32,11 +32,11 @@
     }
 
     pub(super) fn cut(&self, from: usize, to: usize) -> bool {
-        let pair = |(a, b, until)| self.now < until && ((a, b) == (from, to) || (b, a) == (from, to));
-        self.now < self.all_apart
-            || self.is_isolated(from)
-            || self.is_isolated(to)
-            || self.apart.is_some_and(pair)
+        self.under(Spell::AllApart)
+            || self.under(Spell::Isolated(from))
+            || self.under(Spell::Isolated(to))
+            || self.under(Spell::Apart(from, to))
+            || self.under(Spell::Apart(to, from))
     }
 
     pub(super) fn send(&mut self, from: usize, to: Option<String>, message: PeerMessage) {
@@ -72,7 +72,7 @@
             }
             // A user who has waited too long has gone, and hears no answer.
             Some(Asked::User { job, withdraw, until }) if self.now <= until && !self.lost() => {
-                self.soon(MS, 5 * MS, Happening::UserAnswered { job, withdraw, answer });
+                self.soon(MS, 5 * MS, Happening::UserAnswered { job, withdraw, answer, by: node });
             }
             _ => {}
         }
--- a/src/coordination/simulation/outages.rs
+++ b/src/coordination/simulation/outages.rs
@@ -26,8 +26,7 @@
     let usual = rate(&mut world, 5);
     let over = |world: &World| world.jobs.values().filter(|w| w.told_final.is_some()).count();
     let before = over(&world);
-    world.store_down = world.now + Micros::from_secs(25);
-    world.store.regain(world.store_down);
+    world.befalls(Spell::StoreDown, world.now + Micros::from_secs(25));
     world.run(world.now + Micros::from_secs(10));
     let away = rate(&mut world, 15);
     assert!(away < usual * 1.5 + 10.0, "{away} calls a second to a store that is away, {usual} before");
@@ -60,7 +59,7 @@
         for round in 0..4u64 {
             let n = (seed + round) as usize % 3;
             let length = [4, 9, 17, 37][round as usize];
-            world.frozen = Some((n, world.now + Micros::from_secs(length)));
+            world.befalls(Spell::StandsStill(n), world.now + Micros::from_secs(length));
             if round % 2 == 1 {
                 world.crash((n + 1) % 3);
             }
--- a/src/coordination/simulation/overload.rs
+++ b/src/coordination/simulation/overload.rs
@@ -133,8 +133,11 @@
             }
             match second + seed {
                 6 => world.crash(seed as usize % 3),
-                10 => world.frozen = Some(((seed as usize + 1) % 3, world.now + Micros::from_secs(8))),
-                16 => world.apart = Some((0, 1, world.now + Micros::from_secs(12))),
+                10 => {
+                    let n = (seed as usize + 1) % 3;
+                    world.befalls(Spell::StandsStill(n), world.now + Micros::from_secs(8));
+                }
+                16 => world.befalls(Spell::Apart(0, 1), world.now + Micros::from_secs(12)),
                 24 => {
                     let leads = |c: &Option<Controller>| c.as_ref().is_some_and(Controller::leading);
                     if let Some(n) = world.controllers.iter().position(leads) {
--- a/src/coordination/simulation/returns.rs
+++ b/src/coordination/simulation/returns.rs
@@ -86,8 +86,7 @@
             let mut world = busy(40 + seed + 10 * i as u64, trouble, 300);
             for round in 0..6usize {
                 if round == 3 {
-                    world.store_down = world.now + Micros::from_secs(3);
-                    world.store.regain(world.store_down);
+                    world.befalls(Spell::StoreDown, world.now + Micros::from_secs(3));
                 }
                 let leader = (0..3).find(|n| world.controllers[*n].as_ref().is_some_and(Controller::leading));
                 let n = leader.filter(|_| round % 2 == 0).unwrap_or(round % 3);
--- a/src/coordination/simulation/takeovers.rs
+++ b/src/coordination/simulation/takeovers.rs
@@ -27,7 +27,7 @@
         world.add_machine("c16", "east", false);
     }
     world.run(Micros::from_secs(12));
-    world.apart = Some((0, 1, Micros::MAX));
+    world.befalls(Spell::Apart(0, 1), Micros::MAX);
     let ids: Vec<u32> = passing(["n-0", "n-1", "n-2"]).take(3).collect();
     for n in &ids {
         let spec = array(&mut world, *n, 30);
--- a/src/coordination/simulation/troubles.rs
+++ b/src/coordination/simulation/troubles.rs
@@ -31,6 +31,13 @@
     pub(super) copies: f64,
     pub(super) repeats: f64,
     pub(super) mistaken: f64,
+    /// The store answers slowly.
+    pub(super) store_slow: f64,
+    /// The store refuses the leader alone, and then everybody, for longer than a withdrawal may take.
+    pub(super) gap: f64,
+    /// Odds, each time: a transaction gets no answer and is carried out 2 to 12 s later; a job is withdrawn.
+    pub(super) late_writes: f64,
+    pub(super) withdrawn: f64,
 }
 
 impl World {
@@ -46,28 +53,43 @@
         }
         if self.odds(s(t.store_outage)) {
             let length = Micros(self.rng.random_range(S..20 * S));
-            self.store_down = self.now + length;
-            self.store.regain(self.now + length);
+            self.befalls(Spell::StoreDown, self.now + length);
         }
         if self.odds(s(t.store_refuses_one)) {
             let length = Micros(self.rng.random_range(5 * S..35 * S));
-            self.refused_node = Some((self.rng.random_range(0..self.settings.len()), self.now + length));
+            let n = self.rng.random_range(0..self.settings.len());
+            self.befalls(Spell::StoreRefuses(n), self.now + length);
+        }
+        if self.odds(s(t.store_slow)) {
+            let length = Micros(self.rng.random_range(5 * S..40 * S));
+            self.befalls(Spell::StoreSlow, self.now + length);
+        }
+        if self.odds(s(t.gap))
+            && let Some(leader) = self.leader()
+        {
+            let refused = Micros(self.rng.random_range(S..15 * S));
+            let away = Micros(self.rng.random_range(20 * S..70 * S));
+            self.befalls(Spell::StoreRefuses(leader), self.now + refused);
+            let from = Micros(self.rng.random_range(0..refused.0));
+            self.will_befall(self.now + from, Spell::StoreDown, away);
         }
         if self.odds(s(t.stands_still)) {
             let length = Micros(self.rng.random_range(S..40 * S));
-            self.frozen = Some((self.rng.random_range(0..self.settings.len()), self.now + length));
+            let n = self.rng.random_range(0..self.settings.len());
+            self.befalls(Spell::StandsStill(n), self.now + length);
         }
         if self.odds(s(t.isolated)) {
             let length = Micros(self.rng.random_range(S..45 * S));
-            self.isolated = Some((self.rng.random_range(0..self.settings.len()), self.now + length));
+            let n = self.rng.random_range(0..self.settings.len());
+            self.befalls(Spell::Isolated(n), self.now + length);
         }
         if self.odds(s(t.cloud_outage)) {
             self.cloud_down = self.now + Micros(self.rng.random_range(S..30 * S));
         }
         if self.odds(s(t.peers_apart)) {
             let a = self.rng.random_range(0..self.settings.len());
-            self.apart =
-                Some((a, (a + 1) % self.settings.len(), self.now + Micros(self.rng.random_range(S..30 * S))));
+            let until = self.now + Micros(self.rng.random_range(S..30 * S));
+            self.befalls(Spell::Apart(a, (a + 1) % self.settings.len()), until);
         }
         let names: Vec<String> =
             self.workers.iter().filter(|(_, w)| !w.dead).map(|(n, _)| n.clone()).collect();
@@ -107,6 +129,11 @@
         }
     }
 
+    /// The controller that leads, as it sees it itself.
+    pub(super) fn leader(&self) -> Option<usize> {
+        (0..self.settings.len()).find(|n| self.controllers[*n].as_ref().is_some_and(Controller::leading))
+    }
+
     /// What each controller knows of a job, for the message of a failed run.
     pub(super) fn describe(&self, id: &str) -> String {
         let mut text = String::new();
@@ -176,6 +203,10 @@
         let pause = world.rng.random_range(0..5 * S);
         let next = world.now + Micros(pause);
         world.run(next);
+        if trouble.withdrawn > 0.0 && n >= 3 && world.rng.random_bool(trouble.withdrawn) {
+            let id = format!("j-{:06}", n - 3);
+            world.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
+        }
         if n % 9 == 8 {
             let id = format!("j-{:06}", n - 3);
             world.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
--- a/src/coordination/simulation/users.rs
+++ b/src/coordination/simulation/users.rs
@@ -8,6 +8,8 @@
     pub(super) told_accepted: bool,
     pub(super) told_final: Option<(Final, Micros)>,
     pub(super) wants_withdrawal: bool,
+    /// The controller that told its final state first.
+    pub(super) told_by: usize,
     pub(super) next_try: Micros,
     /// How often its submission was turned away.
     pub(super) turned_away: u32,
@@ -35,7 +37,9 @@
         }
         let (spec, accepted) = (wish.spec.clone(), wish.told_accepted);
         let withdraw = accepted && wish.wants_withdrawal;
-        let node = self.rng.random_range(0..self.settings.len());
+        let others = (0..self.settings.len()).filter(|n| Some(*n) != self.passed_over);
+        let others: Vec<usize> = others.collect();
+        let node = others[self.rng.random_range(0..others.len())];
         if self.controllers[node].is_some() && !self.lost() {
             let request = self.next_request;
             self.next_request += 1;
@@ -55,7 +59,7 @@
         self.soon(S, 3 * S, Happening::User(id));
     }
 
-    pub(super) fn user_answered(&mut self, id: String, withdraw: bool, answer: Answer) {
+    pub(super) fn user_answered(&mut self, id: String, withdraw: bool, answer: Answer, by: usize) {
         let now = self.now;
         let Some(wish) = self.jobs.get_mut(&id) else { return };
         match answer {
@@ -75,6 +79,7 @@
                             assert_eq!(before, f, "went_back: {id}");
                         } else {
                             wish.told_final = Some((f, now));
+                            wish.told_by = by;
                         }
                     }
                     _ => {
