A controller acts on knowledge of bounded age: a renewal and changes read, both in time

Cause: entitled() looked at the renewal of the registration alone. When the store is back after an outage all leases have their full time again, so a controller that had been refused before it could renew and act before it had read one change; and one whose watch hung could renew for ever.

Change: coordination/knowledge.rs. A controller acts until its lease's term after the older of two requests that were answered, counted from before they were sent: the last renewal, and the last that brought all changes. Answers to reports and direct orders can only be made with a proof of that. Watches are held for 1 s, not 4, so that a quiet store does not make knowledge look old. Settings whose leases and margins do not fit into cancel_s are refused at start with the sum. One log line when a controller falls silent and when it acts again, knowledge_age_ms on /desk.

Also: a controller that reads of its own end leaves, and the changes behind that in the same answer were still taken in; a job among them stood in the next life's records though it had been withdrawn before they were loaded.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -5,13 +5,12 @@
 use marblewalk_hearing::Shown;
 
 use crate::bookkeeping::records;
+use crate::coordination::knowledge::Proof;
 use crate::coordination::model::{Machine, Pending, TaskOn};
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
 use crate::protocol::peer::{PeerMessage, StopRequest};
 use crate::protocol::units::Micros;
-use crate::protocol::worker::{
-    Cause, DirectOrders, DirectReply, Order, Report, ReportAnswer, TaskId, TaskState,
-};
+use crate::protocol::worker::{Cause, DirectReply, Order, Report, ReportAnswer, TaskId, TaskState};
 
 /// Orders in one answer: with the longest ids they stay far below 64 KiB.
 const MOST_ORDERS: usize = 300;
@@ -31,9 +30,9 @@
 impl Controller {
     pub(super) fn reported(&mut self, request: RequestId, report: Report) {
         self.counters.reports += 1;
-        if !self.entitled() {
+        let Some(proof) = self.proof() else {
             return self.answer(request, Answer::Later(1));
-        }
+        };
         let Some(machine) = self.machines.get(&report.machine) else {
             self.report_stray(report);
             return self.answer(request, Answer::Elsewhere(None));
@@ -92,7 +91,7 @@
             self.place();
             self.status_tick();
         }
-        let answer = self.orders_for(&name, session, tally);
+        let answer = self.orders_for(&proof, &name, session, tally);
         let starts = answer.orders.iter().any(|o| matches!(o, Order::Start { .. }));
         if let Some(machine) = self.machines.get_mut(&name) {
             machine.hearing.answered(self.now, shown, answer.token, starts);
@@ -271,7 +270,7 @@
     }
 
     /// The answer to a report: all orders that are due on the machine.
-    fn orders_for(&mut self, name: &str, session: u64, tally: u64) -> ReportAnswer {
+    fn orders_for(&mut self, proof: &Proof, name: &str, session: u64, tally: u64) -> ReportAnswer {
         let mut orders = Vec::new();
         // A start that was planned and is no longer wanted has never been sent.
         let unwanted: Vec<TaskId> = self
@@ -301,7 +300,7 @@
         let now = self.now;
         let settled = self.settled();
         let Some(machine) = self.machines.get_mut(name) else {
-            return ReportAnswer { token: 0, orders };
+            return proof.answer(0, orders);
         };
         // Room is made before it is used.
         for (id, t) in &mut machine.tasks {
@@ -348,8 +347,7 @@
             }
         }
         machine.answered = Some(now);
-        let token = machine.row.token;
-        ReportAnswer { token, orders }
+        proof.answer(machine.row.token, orders)
     }
 
     /// Whether the records have a job, readable or not.
@@ -381,9 +379,7 @@
     /// Sends what is planned, and what is to be stopped, straight to the workers, rather than with the
     /// answers to their next reports, and asks machines that have just been granted how they stand.
     pub(super) fn speak(&mut self) {
-        if !self.entitled() || !self.placing {
-            return;
-        }
+        let Some(proof) = self.proof().filter(|_| self.placing) else { return };
         let now = self.now;
         let recent = Micros(self.report_every.0 * 2);
         let overdue = self.latest_report() + OVERDUE;
@@ -442,7 +438,7 @@
                 m.talk_after = now + Micros::from_secs(1);
             }
             m.talking = true;
-            let orders = DirectOrders { token, session, orders };
+            let orders = proof.order(token, session, orders);
             self.effects.push(Effect::Orders { machine: name.clone(), addr: m.addr.clone(), orders });
         }
     }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -8,7 +8,7 @@
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, LeaderRecord, NodeRecord};
-use crate::coordination::{Controller, DRIFT, Lease, Phase, Purpose, rules};
+use crate::coordination::{Controller, Lease, Phase, Purpose, rules};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::Micros;
 
@@ -21,6 +21,9 @@
 /// Between two of a controller's ticks there is never so much, unless it has stood still.
 const STOOD_STILL: Micros = Micros::from_millis(1_500);
 const RETRY: Micros = Micros::from_millis(400);
+/// How long a request for changes waits for one. What is known is as old as the request that brought it, so a quiet
+/// store must not make it look older than the renewals do.
+const HOLD: Micros = Micros::from_secs(1);
 
 impl Controller {
     pub(super) fn membership_tick(&mut self) {
@@ -39,7 +42,7 @@
                 let call = StoreCall::Follow {
                     prefix: records::FOLLOWED.to_owned(),
                     after: self.applied,
-                    hold_ms: 4_000,
+                    hold_ms: HOLD.as_millis(),
                 };
                 self.store(Urgency::Entitlement, Purpose::Follow, call);
             }
@@ -239,7 +242,14 @@
             }
             (Purpose::Lease, StoreReply::Leased { lease }) => {
                 let valid_until = self.until(sent);
-                self.lease = Some(Lease { id: lease, stamp: 0, valid_until, renewed: sent, renewing: false });
+                self.lease = Some(Lease {
+                    id: lease,
+                    stamp: 0,
+                    valid_until,
+                    proved: sent,
+                    renewed: sent,
+                    renewing: false,
+                });
                 let key = records::node(self.me());
                 let Ok(value) = serde_json::to_value(NodeRecord { lease }) else { return };
                 let transaction = Transaction {
@@ -260,6 +270,8 @@
             (Purpose::Load, StoreReply::Page(page)) if self.phase == Phase::Loading => {
                 if self.loading.is_empty() {
                     self.applied = page.revision;
+                    // What is read of later pages is newer.
+                    self.followed_at = sent;
                 }
                 let last = page.entries.last().map(|e| e.key.clone());
                 self.loading.extend(page.entries);
@@ -280,6 +292,7 @@
                 if let Some(lease) = &mut self.lease {
                     lease.renewing = false;
                     lease.renewed = sent;
+                    lease.proved = lease.proved.max(sent);
                     lease.valid_until = lease.valid_until.max(until);
                 }
             }
@@ -299,12 +312,6 @@
         }
     }
 
-    /// How long a lease renewed by a request sent then may be relied on.
-    fn until(&self, sent: Micros) -> Micros {
-        let margin = Micros::from_millis(100) + self.lease_term.mul_f64(DRIFT);
-        sent + self.lease_term.since(margin)
-    }
-
     pub(super) fn load(&mut self, after: String) {
         let prefix = records::FOLLOWED.to_owned();
         self.store(Urgency::Entitlement, Purpose::Load, StoreCall::List { prefix, after });
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 mod finals;
 mod fleet;
 mod intake;
+mod knowledge;
 mod leader;
 mod machines;
 mod membership;
@@ -205,6 +206,8 @@
     /// Stamp of the registration: entitles every transaction.
     pub stamp: u64,
     pub valid_until: Micros,
+    /// When the last renewal that was answered was sent.
+    pub proved: Micros,
     pub renewed: Micros,
     pub renewing: bool,
 }
@@ -273,6 +276,8 @@
     pub(crate) phase: Phase,
     pub(crate) joining: Backoff,
     pub(crate) lease: Option<Lease>,
+    /// Why this controller was silent at its last tick.
+    pub(crate) silent: Option<knowledge::Silence>,
     pub(crate) store_heard: Micros,
 
     // Replica of what the store holds under the followed prefix.
@@ -396,6 +401,7 @@
             phase: Phase::Outside,
             joining: Backoff::default(),
             lease: None,
+            silent: Some(knowledge::Silence::NotJoined),
             store_heard: Micros::ZERO,
             applied: 0,
             unreadable: BTreeSet::new(),
@@ -521,6 +527,7 @@
     fn tick(&mut self) {
         self.notice_standstill();
         self.membership_tick();
+        self.note_silence();
         for (purpose, _) in self.calls.expire(self.now, Micros::from_millis(1_500)) {
             self.store_replied(purpose, self.now, StoreReply::Refused);
         }
@@ -599,11 +606,6 @@
         }
     }
 
-    /// Whether this controller may give orders, answer reports and vouch for its jobs.
-    pub fn entitled(&self) -> bool {
-        self.phase == Phase::Active && self.lease.as_ref().is_some_and(|l| l.valid_until > self.now)
-    }
-
     /// Whether this controller can take requests, as far as the load balancer is concerned.
     ///
     /// In an outage of the state service all controllers stay healthy and defer, for being taken out
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -35,6 +35,7 @@
 impl Controller {
     pub(super) fn forget_replica(&mut self) {
         self.applied = 0;
+        self.followed_at = Micros::ZERO;
         self.jobs.clear();
         self.nodes.clear();
         self.leader = None;
@@ -121,6 +122,11 @@
                         Change::Put { key, value, stamp } => self.put(&key, &value, stamp),
                         Change::Delete { key, stamp } => self.delete(&key, stamp),
                     }
+                    // Its registration was among what has gone. The rest belongs to no life: a job taken from it stood
+                    // in the next life's records, though it had been withdrawn before they were loaded.
+                    if self.phase != Phase::Active {
+                        return;
+                    }
                 }
                 if news.revision > self.applied {
                     self.applied = news.revision;
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -8,6 +8,7 @@
 mod evictions;
 mod fleets;
 mod measure;
+mod meetings;
 mod mistakes;
 mod network;
 mod outages;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::coordination::{DRIFT, SLACK};
 use crate::protocol::units::Micros;
 
 #[derive(Debug, thiserror::Error)]
@@ -14,6 +15,11 @@
     Parse { path: String, message: String },
     #[error("{field}: {problem}")]
     Value { field: String, problem: &'static str },
+    #[error(
+        "params.workers.cancel_s: {cancel_s} s leave no room: block_lease_s of {block_lease_s:.3} s, \
+         params.workers.lease_s of {lease_s} s and {margin_s:.3} s of margins make {sum_s:.3} s"
+    )]
+    NoRoom { cancel_s: f64, block_lease_s: f64, lease_s: f64, margin_s: f64, sum_s: f64 },
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -250,78 +256,41 @@
         }
         Micros::from_secs_f64(((w.cancel_s - w.lease_s) * 0.75).clamp(4.0, 15.0))
     }
-}
-
-#[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
 
-    pub const SAMPLE: &str = r#"
-member = "n-0"
-zone = "east"
-api_addr = "10.0.0.1:8080"
-internal_addr = "10.0.0.1:8081"
-novelty = true
-[[members]]
-member = "n-1"
-zone = "west"
-addr = "10.0.0.2:8081"
-[[members]]
-member = "n-2"
-zone = "west"
-addr = "10.0.0.3:8081"
-[external]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[params]
-zones = ["east", "west"]
-[[params.teams]]
-name = "blue"
-cpus = 0.0
-cpus_max = 40.0
-[[params.teams]]
-name = "green"
-[params.workers]
-report_s = 2.5
-lease_s = 14.0
-gang_wait_s = 45.0
-gang_peer_s = 4.0
-cancel_s = 34.0
-[params.state]
-rps = 120.0
-write_rps = 25.0
-value_kb = 8.0
-txn_ops = 12
-[params.cloud]
-rps = 5.0
-list_lag_s = 3.0
-[params.machine_limits]
-sockets = 700
-"#;
+    /// How long after a withdrawal was confirmed the last of its job's tasks is certainly gone.
+    ///
+    /// Whoever does not know of it falls silent a lease after what it last learned from the state service, and that
+    /// is older than the confirmation. Until then it may have answered a report, or sent a start into a session that
+    /// it knew; the one renews a worker's lease as of when the report was sent, the other renews nothing and is of no
+    /// effect in another session. So however long an answer or a command is held up on its way, a worker's lease later
+    /// the task is gone. The margins are for the drift of the clocks and for timers that fire late.
+    pub fn withdrawn_within(&self, tuning: &Tuning) -> Micros {
+        let lease = Micros::from_secs_f64(self.params.workers.lease_s);
+        self.lease(tuning) + lease + Self::margin(lease)
+    }
 
-    #[test]
-    fn the_platforms_file_may_grow_but_not_lie() {
-        let good: Settings = toml::from_str(SAMPLE).unwrap();
-        good.check().unwrap();
-        assert_eq!(good.everyone(), ["n-0", "n-1", "n-2"]);
-        for (from, to, field) in [
-            ("rps = 120.0", "rps = -1.0", "params.state.rps"),
-            ("lease_s = 14.0", "lease_s = nan", "params.workers.lease_s"),
-            ("txn_ops = 12", "txn_ops = 2", "params.state.txn_ops"),
-            ("10.0.0.3:8081", "elsewhere", "members.n-2.addr"),
-        ] {
-            let bad: Settings = toml::from_str(&SAMPLE.replace(from, to)).unwrap();
-            let message = bad.check().unwrap_err().to_string();
-            assert!(message.starts_with(field), "{message}");
-        }
-        let missing = toml::from_str::<Settings>(&SAMPLE.replace("lease_s = 14.0", ""));
-        assert!(missing.unwrap_err().message().contains("lease_s"));
+    fn margin(worker_lease: Micros) -> Micros {
+        worker_lease.mul_f64(DRIFT) + SLACK + SLACK
     }
 
-    #[test]
-    fn operators_settings_reject_what_they_do_not_know() {
-        let tuning: Tuning = toml::from_str("round_s = 1.0").unwrap();
-        assert_eq!((tuning.round_s, tuning.surplus_wait_s), (1.0, 20.0));
-        assert!(toml::from_str::<Tuning>("rounds = 1.0").is_err());
+    /// Checks that a withdrawal holds in time, whatever fails.
+    ///
+    /// # Errors
+    /// [`SettingsError::NoRoom`] where the leases and margins are not shorter than `cancel_s`.
+    pub fn leave_room(&self, tuning: &Tuning) -> Result<(), SettingsError> {
+        let (w, sum) = (&self.params.workers, self.withdrawn_within(tuning));
+        if sum < Micros::from_secs_f64(w.cancel_s) {
+            return Ok(());
+        }
+        Err(SettingsError::NoRoom {
+            cancel_s: w.cancel_s,
+            block_lease_s: self.lease(tuning).as_secs_f64(),
+            lease_s: w.lease_s,
+            margin_s: Self::margin(Micros::from_secs_f64(w.lease_s)).as_secs_f64(),
+            sum_s: sum.as_secs_f64(),
+        })
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -127,10 +127,11 @@
 fn describe(c: &Controller) -> String {
     let (held, known) = c.machine_counts();
     let n = &c.counters;
-    let rows: [(&str, u64); 34] = [
+    let rows: [(&str, u64); 35] = [
         ("healthy", c.healthy().into()),
         ("entitled", c.entitled().into()),
         ("leading", c.leading().into()),
+        ("knowledge_age_ms", c.knowledge_age().as_millis()),
         ("machines_held", held as u64),
         ("machines_known", known as u64),
         ("machines_unaccounted", c.adopting() as u64),
