What is over by another controller's word ends at once, and is told until all have followed it

Cause: final states told by peers went into the cache of answers only: the job stayed live in the replica and its tasks ran on until the change was followed, which the store may refuse a controller for long. They were told with one status, and a lost status was never made up for.

Change: a final state holds for ever, so the job ends here too by the word; an acceptance that is followed afterwards does not bring it back. The word is repeated each second until all registered controllers have followed its revision.

--- a/src/coordination/finals.rs
+++ b/src/coordination/finals.rs
@@ -17,6 +17,17 @@
 /// Final states told with one status; further ones go with the next.
 const MOST_TOLD: usize = 500;
 
+/// A final state that this controller has recorded.
+#[derive(Debug)]
+pub(crate) struct Recorded {
+    id: String,
+    state: Final,
+    tasks: u32,
+    revision: u64,
+    /// The others have been told once.
+    told: bool,
+}
+
 /// How far the recorded final states have been read.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
@@ -27,15 +38,54 @@
 }
 
 impl Controller {
-    /// This controller has recorded that a job is over.
-    pub(super) fn recorded_final(&mut self, id: &str, state: Final, tasks: u32) {
+    /// This controller has recorded that a job is over, in this revision.
+    pub(super) fn recorded_final(&mut self, id: &str, state: Final, tasks: u32, revision: u64) {
+        self.finals.insert(id, state, tasks);
+        if self.recorded_finals.len() == self.tuning.final_cache.max(1) {
+            self.recorded_finals.pop_front();
+        }
+        let recorded = Recorded { id: id.to_owned(), state, tasks, revision, told: false };
+        self.recorded_finals.push_back(recorded);
+        self.soon_status();
+    }
+
+    /// Another controller has recorded that a job is over, which holds for ever: the job's tasks end here too, without
+    /// waiting for the change to be followed, which the store may refuse this controller for a long time.
+    pub(super) fn told_final(&mut self, id: &str, state: Final, tasks: u32) {
         self.finals.insert(id, state, tasks);
-        self.untold_finals.push((id.to_owned(), state, tasks));
+        self.retire(id);
+    }
+
+    /// What to tell the others with a status: with each what is new, and with the `regular` ones again what not all are
+    /// known to have followed, for a status may be lost.
+    pub(super) fn finals_to_tell(&mut self, regular: bool) -> Vec<(String, Final, u32)> {
+        if self.recorded_finals.is_empty() {
+            return Vec::new();
+        }
+        let followed = self.followed_by_others();
+        self.recorded_finals.retain(|r| !r.told || r.revision > followed);
+        let due: Vec<usize> = (0..self.recorded_finals.len())
+            .filter(|i| regular || !self.recorded_finals[*i].told)
+            .take(MOST_TOLD)
+            .collect();
+        let mut tell = Vec::new();
+        for i in &due {
+            let r = &mut self.recorded_finals[*i];
+            r.told = true;
+            tell.push((r.id.clone(), r.state, r.tasks));
+        }
+        // The next ones first next time.
+        if due.len() == MOST_TOLD && regular {
+            self.recorded_finals.rotate_left(MOST_TOLD);
+        }
+        tell
     }
 
-    pub(super) fn finals_to_tell(&mut self) -> Vec<(String, Final, u32)> {
-        let n = self.untold_finals.len().min(MOST_TOLD);
-        self.untold_finals.drain(..n).collect()
+    /// Up to which revision all other registered controllers have said that they have followed the store.
+    fn followed_by_others(&self) -> u64 {
+        let others = self.nodes.iter().filter(|(member, _)| *member != self.me());
+        let applied = others.map(|(member, node)| self.word_of(member, *node).map_or(0, |s| s.applied));
+        applied.min().unwrap_or(u64::MAX)
     }
 
     /// Reads the next page of what was recorded before this controller's time, as long as there is memory for it.
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -291,8 +291,8 @@
         reply: StoreReply,
     ) {
         match reply {
-            StoreReply::Committed { .. } => {
-                self.recorded_final(&job, Final::Withdrawn, tasks);
+            StoreReply::Committed { revision } => {
+                self.recorded_final(&job, Final::Withdrawn, tasks, revision);
                 // Its tasks are ended wherever they are found, for no live job has them.
                 self.retire(&job);
                 self.follow_at = self.follow_at.map(|_| self.now);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -696,7 +696,7 @@
     }
 
     /// The last word of a member's present life.
-    fn word_of(&self, member: &str, node: u64) -> Option<&crate::protocol::peer::Status> {
+    pub(super) fn word_of(&self, member: &str, node: u64) -> Option<&crate::protocol::peer::Status> {
         self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == node)
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -40,7 +40,7 @@
 use crate::bookkeeping::cache::FinalCache;
 use crate::bookkeeping::records::{QuotaRecord, UninformedRecord, ViewRecord};
 use crate::protocol::cloud::{CloudCall, CloudReply, MachineType, Rental};
-use crate::protocol::job::{Final, JobSpec, JobState};
+use crate::protocol::job::{JobSpec, JobState};
 use crate::protocol::peer::{MachineStatus, PeerMessage, Status};
 use crate::protocol::store::{StoreCall, StoreReply};
 use crate::protocol::units::{Micros, Resources};
@@ -350,8 +350,8 @@
     pub(crate) polls_at: Micros,
     pub(crate) finals: FinalCache,
     pub(crate) reading_finals: finals::Reading,
-    /// Final states recorded here that the others have not been told of.
-    pub(crate) untold_finals: Vec<(String, Final, u32)>,
+    /// Final states recorded here that not all others are known to have.
+    pub(crate) recorded_finals: VecDeque<finals::Recorded>,
     pub(crate) lead: Option<leader::Leading>,
     pub(crate) lead_at: Micros,
     pub(crate) volumes_heard: Micros,
@@ -448,7 +448,7 @@
             polls_at: Micros::ZERO,
             finals: FinalCache::new(tuning.final_cache),
             reading_finals: Default::default(),
-            untold_finals: Vec::new(),
+            recorded_finals: VecDeque::new(),
             lead: None,
             lead_at: Micros::ZERO,
             volumes_heard: Micros::ZERO,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -935,9 +935,9 @@
 
     pub(super) fn complete_replied(&mut self, id: String, reply: StoreReply) {
         match reply {
-            StoreReply::Committed { .. } => {
+            StoreReply::Committed { revision } => {
                 if let Some(tasks) = self.retire(&id) {
-                    self.recorded_final(&id, Final::Done, tasks);
+                    self.recorded_final(&id, Final::Done, tasks, revision);
                     tracing::debug!(job = id, "done");
                 }
                 self.soon_round();
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -66,7 +66,7 @@
         self.blame = Default::default();
         // What is over meanwhile is read again, and not told under a new life.
         self.reading_finals = Default::default();
-        self.untold_finals.clear();
+        self.recorded_finals.clear();
     }
 
     /// A job is over. Its tasks count against its team's limit until they are seen gone.
@@ -157,7 +157,8 @@
             self.unreadable.remove(key);
         }
         if let Some(job) = key.strip_prefix(records::LIVE) {
-            if !self.jobs.contains_key(job) {
+            // A peer's word that it is over may have come before the change that accepted it.
+            if !self.jobs.contains_key(job) && self.finals.get(job).is_none() {
                 let spec = match value.read::<JobSpec>() {
                     Ok(spec) => spec,
                     Err(problem) => return self.not_understood(key, &problem),
--- a/src/coordination/simulation/meetings.rs
+++ b/src/coordination/simulation/meetings.rs
@@ -59,6 +59,38 @@
     }
 }
 
+/// Guards against a word that is heard and not acted upon: a controller that the store refuses was told by the others
+/// which jobs were over, answered users so, and went on running their tasks; and the word was given once, so that a
+/// status which did not arrive was never made up for.
+#[test]
+fn what_is_over_by_another_controllers_word_ends_at_once_also_when_the_first_word_is_lost() {
+    let mut left = 0;
+    for seed in 0..4 {
+        let mut world = full(seed, 12);
+        let leader = world.leader().unwrap();
+        let start = world.now;
+        world.befalls(Spell::StoreRefuses(leader), start + Micros::from_secs(14));
+        (0..3).for_each(|n| world.befalls(Spell::Apart(leader, n), start + Micros::from_secs(3)));
+        let confirmed = withdraw_elsewhere(&mut world, leader, Micros::from_millis(2_500));
+        assert!(confirmed > 0, "seed {seed}: no withdrawal was confirmed by another");
+        world.passed_over = Some(leader);
+        let over: BTreeSet<String> = world
+            .jobs
+            .iter()
+            .filter(|(_, w)| w.told_final.is_some_and(|(_, at)| at < start + Micros::from_millis(2_500)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let running = |w: &World| {
+            let tasks = w.workers.values().flat_map(|w| &w.tasks);
+            tasks.filter(|(id, t)| over.contains(&id.job) && t.state == TaskState::Running).count()
+        };
+        left += running(&world);
+        world.run(start + Micros::from_secs(6));
+        assert_eq!(running(&world), 0, "seed {seed}: the old leader keeps tasks of withdrawn jobs running");
+    }
+    assert!(left > 20, "only {left} tasks were left to end");
+}
+
 /// Guards the next life's records against the last one's changes: a controller that reads of its own end leaves, and
 /// what stands behind that in the same answer must not be taken in. A job that was withdrawn before the new life loaded
 /// its records stood in them for ever, and its tasks were started.
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -51,7 +51,7 @@
         self.status_sequence += 1;
         let (machines, tallies) = self.changed_words(regular);
         let confirm = self.mark_announced() || self.announcements.owed();
-        let over = self.finals_to_tell();
+        let over = self.finals_to_tell(regular);
         let status = Status { whole, confirm, machines, tallies, over, ..self.bare_status() };
         if self.lead.is_some() {
             let own = self.settings.member.clone();
@@ -233,7 +233,7 @@
         let tallies = std::mem::take(&mut status.tallies);
         let stops = std::mem::take(&mut status.stops);
         for (id, state, tasks) in std::mem::take(&mut status.over) {
-            self.finals.insert(&id, state, tasks);
+            self.told_final(&id, state, tasks);
         }
         let told = !words.is_empty();
         let peer = self.peers.entry(from.clone()).or_default();
