--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -109,6 +109,7 @@
     LateOrders {
         machine: String,
         orders: DirectOrders,
+        sent: Micros,
     },
     LateCommit {
         node: usize,
@@ -364,6 +365,10 @@
                 self.at_the_store(node, life, id, call, since)
             }
             Happening::Copy { node, report } => {
+                if let Some(w) = self.workers.get(&report.machine) {
+                    self.met.late_copies += u32::from((w.session, w.tally) > (report.session, report.tally));
+                    self.met.earlier_sessions += u32::from(w.session > report.session);
+                }
                 self.next_request += 1;
                 self.tell(node, Event::Report(self.next_request - 1, report));
             }
@@ -381,7 +386,12 @@
                 let event = Event::Worker { machine, token, reply };
                 self.soon(MS, 5 * MS, Happening::ToController { node, life, event });
             }
-            Happening::LateOrders { machine, orders } => drop(self.execute(&machine, orders)),
+            Happening::LateOrders { machine, orders, sent } => {
+                let any = !orders.orders.is_empty();
+                let done = matches!(self.execute(&machine, orders), DirectReply::Done(_));
+                let late = self.now.since(sent) > Micros::from_secs(1);
+                self.met.late_orders += u32::from(any && done && late);
+            }
             Happening::Worker(name) => self.worker_turn(name),
             Happening::ReportAnswered { machine, session, tally, answer } => {
                 self.report_answered(machine, session, tally, answer);
--- a/src/coordination/simulation/meetings.rs
+++ b/src/coordination/simulation/meetings.rs
@@ -117,3 +117,70 @@
     assert_eq!((c.jobs.len(), c.applied), (0, 0), "changes of no life are kept");
     assert_eq!(world.lives[node], life);
 }
+
+/// Every trouble that a random run may draw, each by itself at odds at which it is met several times in a run.
+fn troubles() -> Vec<(&'static str, fn(&mut Trouble))> {
+    vec![
+        ("crash", |t| t.crash = 0.03),
+        ("crash_all", |t| t.crash_all = 0.015),
+        ("machine_dies", |t| t.machine_dies = 0.03),
+        ("machine_cut", |t| t.machine_cut = 0.05),
+        ("machine_hangs", |t| t.machine_hangs = 0.05),
+        ("faulty", |t| t.faulty = 0.01),
+        ("spot_taken", |t| t.spot_taken = 0.2),
+        ("store_outage", |t| t.store_outage = 0.02),
+        ("store_refuses_one", |t| t.store_refuses_one = 0.03),
+        ("store_slow", |t| t.store_slow = 0.02),
+        ("gap", |t| t.gap = 0.01),
+        ("cloud_outage", |t| t.cloud_outage = 0.02),
+        ("peers_apart", |t| t.peers_apart = 0.04),
+        ("lost", |t| (t.lost, t.late) = (0.02, 0.6)),
+        ("late_writes", |t| t.late_writes = 0.15),
+        ("late_reports", |t| t.copies = 0.3),
+        ("repeats", |t| t.repeats = 0.3),
+        ("stands_still", |t| t.stands_still = 0.02),
+        ("isolated", |t| t.isolated = 0.02),
+        ("deaf", |t| t.deaf = 0.06),
+        ("reboots", |t| t.reboots = 0.04),
+        ("mistaken", |t| t.mistaken = 0.15),
+    ]
+}
+
+/// Plays every two troubles together, with a third of the jobs withdrawn; `part` of `of` of the pairs.
+fn pairs(part: usize, of: usize) {
+    let troubles = troubles();
+    let pair = |i: usize| (i + 1..troubles.len()).map(move |j| (i, j));
+    let pairs = (0..troubles.len()).flat_map(pair).enumerate().filter(|(n, _)| n % of == part);
+    let mut runs = Vec::new();
+    for (n, (i, j)) in pairs {
+        let mut both = Trouble { withdrawn: 0.3, ..Default::default() };
+        troubles[i].1(&mut both);
+        troubles[j].1(&mut both);
+        let name = format!("{} and {}", troubles[i].0, troubles[j].0);
+        // Each pair has seeds of its own.
+        let first = 100_000 + 1_000 * n as u64;
+        runs.extend((first..first + super::troubles::soak()).map(|seed| (name.clone(), seed, both)));
+    }
+    super::troubles::play_each(runs);
+}
+
+/// Guards every rule where any two troubles meet. Cut in four, so that they are played at once.
+#[test]
+fn no_two_troubles_together_break_a_rule_first_quarter() {
+    pairs(0, 4);
+}
+
+#[test]
+fn no_two_troubles_together_break_a_rule_second_quarter() {
+    pairs(1, 4);
+}
+
+#[test]
+fn no_two_troubles_together_break_a_rule_third_quarter() {
+    pairs(2, 4);
+}
+
+#[test]
+fn no_two_troubles_together_break_a_rule_last_quarter() {
+    pairs(3, 4);
+}
--- a/src/coordination/simulation/rules.rs
+++ b/src/coordination/simulation/rules.rs
@@ -3,6 +3,16 @@
 use super::*;
 
 impl World {
+    /// A worker's lease, as the deployment has it.
+    pub(super) fn lease(&self) -> Micros {
+        Micros::from_secs_f64(self.settings[0].params.workers.lease_s)
+    }
+
+    /// How long after a withdrawal was confirmed the last task may be there.
+    pub(super) fn cancel(&self) -> Micros {
+        Micros::from_secs_f64(self.settings[0].params.workers.cancel_s)
+    }
+
     /// A task has its image: the moment at which the rules are judged.
     pub(super) fn has_begun(&mut self, name: &str, id: &TaskId) {
         self.started += 1;
@@ -10,7 +20,7 @@
         for (other, w) in self.workers.iter().filter(|(n, w)| *n != name && !w.dead) {
             if let Some(t) = w.tasks.get(id) {
                 // A worker past its lease has only not noticed yet.
-                let gone = self.now.since(w.renewed) > Micros::from_secs(14);
+                let gone = self.now.since(w.renewed) > self.lease();
                 assert!(!here(t) || gone, "ran_twice: {id:?} on {other} and {name} at {:?}", self.now);
             }
         }
@@ -20,9 +30,7 @@
         assert!(spec.zone.as_ref().is_none_or(|z| *z == w.zone), "wrong_place: zone of {id:?}");
         assert!(spec.spot || !w.spot, "wrong_place: {id:?} on a spot machine");
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for w in
-            self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= Micros::from_secs(14))
-        {
+        for w in self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= self.lease()) {
             for (_, t) in w.tasks.iter().filter(|(i, t)| i.job == id.job && here(t)) {
                 debug_assert!(t.attempt > 0);
                 *zones.entry(&w.zone).or_default() += 1;
@@ -32,7 +40,7 @@
         let most = spec.tasks.div_ceil(2);
         assert!(!spec.spread || zones.values().all(|n| *n <= most), "wrong_place: {id:?} not apart");
         if let Some((Final::Withdrawn, at)) = self.jobs[&id.job].told_final {
-            assert!(self.now.since(at) < Micros::from_secs(34), "ran_cancelled: {id:?}");
+            assert!(self.now.since(at) < self.cancel(), "ran_cancelled: {id:?}");
         }
     }
 
@@ -54,9 +62,7 @@
     pub(super) fn check(&self) {
         let limit = (self.settings[0].params.teams[0].cpus_max * 1e3) as u64;
         let mut used = 0;
-        for w in
-            self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= Micros::from_secs(14))
-        {
+        for w in self.workers.values().filter(|w| !w.dead && self.now.since(w.renewed) <= self.lease()) {
             for (id, t) in &w.tasks {
                 if matches!(t.state, TaskState::Ended | TaskState::Fetching) {
                     continue;
@@ -66,7 +72,7 @@
                     used += spec.need().cpu;
                 }
                 if let Some((Final::Withdrawn, at)) = self.jobs[&id.job].told_final {
-                    assert!(self.now.since(at) < Micros::from_secs(34), "ran_cancelled: {id:?} still runs");
+                    assert!(self.now.since(at) < self.cancel(), "ran_cancelled: {id:?} still runs");
                 }
             }
         }
--- a/src/coordination/simulation/troubles.rs
+++ b/src/coordination/simulation/troubles.rs
@@ -234,34 +234,40 @@
     world
 }
 
-/// Plays the seeds given; with `MARBLEWALK_SOAK` set to a number, that many times as many, on all processors,
-/// and names every seed that failed.
+/// How many times as many seeds as in CI are to be played: `MARBLEWALK_SOAK`, a number.
+pub(super) fn soak() -> u64 {
+    std::env::var("MARBLEWALK_SOAK").ok().and_then(|n| n.parse().ok()).unwrap_or(1).max(1)
+}
+
+/// Plays the seeds given; with `MARBLEWALK_SOAK` that many times as many.
 pub(super) fn play_all(seeds: std::ops::Range<u64>, trouble: Trouble) {
-    let soak = std::env::var("MARBLEWALK_SOAK").ok().and_then(|n| n.parse::<u64>().ok()).unwrap_or(1);
-    let count = (seeds.end - seeds.start) * soak;
-    if soak <= 1 {
-        return seeds.for_each(|seed| drop(play(seed, trouble)));
+    let count = (seeds.end - seeds.start) * soak();
+    play_each((seeds.start..seeds.start + count).map(|seed| (String::new(), seed, trouble)).collect());
+}
+
+/// Plays runs, each with what it is called, one after the other; in a soak on all processors, and all that failed
+/// are named at the end.
+pub(super) fn play_each(runs: Vec<(String, u64, Trouble)>) {
+    if soak() <= 1 {
+        return runs.into_iter().for_each(|(_, seed, trouble)| drop(play(seed, trouble)));
     }
-    let next = std::sync::atomic::AtomicU64::new(0);
+    let next = std::sync::atomic::AtomicUsize::new(0);
     let failed = std::sync::Mutex::new(Vec::new());
     std::thread::scope(|threads| {
         for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()) {
             threads.spawn(|| {
-                loop {
-                    let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                    if n >= count {
-                        return;
-                    }
-                    let seed = seeds.start + n;
-                    if std::panic::catch_unwind(|| drop(play(seed, trouble))).is_err() {
-                        failed.lock().unwrap().push(seed);
+                while let Some((name, seed, trouble)) =
+                    runs.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed))
+                {
+                    if std::panic::catch_unwind(|| drop(play(*seed, *trouble))).is_err() {
+                        failed.lock().unwrap().push((name.as_str(), *seed));
                     }
                 }
             });
         }
     });
     let failed = failed.into_inner().unwrap();
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    assert!(failed.is_empty(), "failed runs: {failed:?}");
 }
 
 #[test]
--- a/src/coordination/simulation/workers.rs
+++ b/src/coordination/simulation/workers.rs
@@ -35,8 +35,8 @@
 
 impl Worker {
     /// Past its lease, a worker ends all tasks and begins its next session.
-    pub(super) fn lapse(&mut self, now: Micros) {
-        if now.since(self.renewed) > Micros::from_secs(14) {
+    pub(super) fn lapse(&mut self, now: Micros, lease: Micros) {
+        if now.since(self.renewed) > lease {
             self.tasks.clear();
             self.session += 1;
             self.renewed = now;
@@ -76,7 +76,7 @@
 impl World {
     /// Advances a worker: its lease, its tasks, its reports.
     pub(super) fn worker_turn(&mut self, name: String) {
-        let now = self.now;
+        let (now, lease) = (self.now, self.lease());
         let Some(w) = self.workers.get_mut(&name) else { return };
         if w.dead {
             return;
@@ -85,7 +85,7 @@
             let until = w.hung_until;
             return self.at(until, Happening::Worker(name));
         }
-        w.lapse(now);
+        w.lapse(now, lease);
         let mut changed = false;
         let mut completed = Vec::new();
         let mut begun = Vec::new();
@@ -245,7 +245,8 @@
         if held_up || self.lost() {
             if self.rng.random_bool(0.7) {
                 let machine = machine.to_owned();
-                self.soon(MS, 60 * S, Happening::LateOrders { machine, orders });
+                let sent = now;
+                self.soon(MS, 60 * S, Happening::LateOrders { machine, orders, sent });
             }
             return DirectReply::Unclear;
         }
@@ -254,12 +255,12 @@
     }
 
     pub(super) fn execute(&mut self, machine: &str, orders: DirectOrders) -> DirectReply {
-        let now = self.now;
+        let (now, lease) = (self.now, self.lease());
         let Some(w) = self.workers.get_mut(machine) else { return DirectReply::NotSent };
         if w.dead {
             return DirectReply::NotSent;
         }
-        w.lapse(now);
+        w.lapse(now, lease);
         w.tally += 1;
         if orders.token < w.token || orders.session != w.session {
             return DirectReply::Rejected(Box::new(w.report(machine, now)));
