--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -150,6 +150,8 @@
     late_orders: u32,
     /// Tasks that had completed and began again.
     done_again: u32,
+    /// Words of controllers that came more than five seconds late.
+    late_words: u32,
     /// The longest that a task was there after its job's withdrawal had been confirmed.
     outlived: Micros,
 }
@@ -173,8 +175,8 @@
     requests: HashMap<(usize, u64, RequestId), Asked>,
     next_request: RequestId,
     store: Store,
-    /// What has befallen the store and the controllers, and until when.
-    spells: Vec<(Spell, Micros)>,
+    /// What has befallen the store and the controllers, since when and until when.
+    spells: Vec<(Spell, Micros, Micros)>,
     cloud_down: Micros,
     charters: BTreeMap<String, Vec<String>>,
     next_machine: u32,
--- a/src/coordination/simulation/meetings.rs
+++ b/src/coordination/simulation/meetings.rs
@@ -272,6 +272,7 @@
 /// withdrawn through the new one: it must have fallen silent before anybody acts for it, and in time for each.
 #[test]
 fn a_leader_alone_with_its_workers_holds_up_no_withdrawal() {
+    let mut late = 0;
     for seed in 120..128 {
         let mut world = full(seed, 12);
         let leader = world.leader().unwrap();
@@ -286,7 +287,9 @@
         world.passed_over = None;
         world.run(world.now + length);
         all_over(&mut world, &format!("seed {seed}"));
+        late += world.met.late_words;
     }
+    assert!(late > 50, "only {late} words came late");
 }
 
 /// Guards against reports that come after newer ones, of earlier sessions and attempts, to controllers that remember
--- a/src/coordination/simulation/network.rs
+++ b/src/coordination/simulation/network.rs
@@ -43,11 +43,16 @@
         for other in 0..self.settings.len() {
             let named = to.as_ref().is_none_or(|t| *t == self.settings[other].member);
             let cut = self.cut(from, other);
-            if other == from || !named || cut || self.lost() {
+            if other == from || !named || !cut && self.lost() {
                 continue;
             }
             // Messages between two controllers share a connection and keep their order.
-            let delay = Micros(2 * MS);
+            let mut delay = Micros(2 * MS);
+            if cut {
+                let Some(until) = self.held_until(from, other) else { continue };
+                delay = until.since(self.now);
+                self.met.late_words += u32::from(delay > Micros::from_secs(5));
+            }
             let event = Event::Peer(self.settings[from].member.clone(), message.clone());
             let life = self.lives[other];
             self.at(self.now + delay, Happening::ToController { node: other, life, event });
--- a/src/coordination/simulation/spells.rs
+++ b/src/coordination/simulation/spells.rs
@@ -24,14 +24,16 @@
 }
 
 /// How long a client waits for the store beyond what a watch is to be held for.
+/// After how long a controller gives a link up on which nothing moves.
+const NOTICED: Micros = Micros::from_secs(3);
 const PATIENCE: Micros = Micros::from_millis(1_500);
 
 impl World {
     /// A spell begins now.
     pub(super) fn befalls(&mut self, spell: Spell, until: Micros) {
         let now = self.now;
-        self.spells.retain(|(_, until)| *until > now);
-        self.spells.push((spell, until));
+        self.spells.retain(|(.., until)| *until > now);
+        self.spells.push((spell, now, until));
         if spell == Spell::StoreDown {
             let until = self.until(spell);
             self.store.regain(until);
@@ -44,12 +46,26 @@
     }
 
     pub(super) fn under(&self, spell: Spell) -> bool {
-        self.spells.iter().any(|(s, until)| *s == spell && self.now < *until)
+        self.spells.iter().any(|(s, _, until)| *s == spell && self.now < *until)
+    }
+
+    /// When what one controller says to another now will arrive, though they are cut off from each other. A link holds
+    /// what was sent before its sender noticed that nothing moves, and brings it in order when the cut is over.
+    pub(super) fn held_until(&self, from: usize, to: usize) -> Option<Micros> {
+        let between = |s: &Spell| {
+            [Spell::Isolated(from), Spell::Isolated(to), Spell::Apart(from, to), Spell::Apart(to, from)]
+                .contains(s)
+        };
+        let cuts = self.spells.iter().filter(|(s, _, until)| between(s) && self.now < *until);
+        let (since, until) = cuts.fold((Micros::MAX, Micros::ZERO), |(since, until), (_, from, to)| {
+            (since.min(*from), until.max(*to))
+        });
+        (self.now.since(since) < NOTICED && until < Micros::MAX).then_some(until)
     }
 
     /// When the last spell of a kind ends.
     pub(super) fn until(&self, spell: Spell) -> Micros {
-        let ends = self.spells.iter().filter(|(s, _)| *s == spell).map(|(_, until)| *until);
+        let ends = self.spells.iter().filter(|(s, ..)| *s == spell).map(|(.., until)| *until);
         ends.max().unwrap_or_default()
     }
 
@@ -86,6 +102,13 @@
         }
         let share = self.trouble.late_writes;
         let reply = if self.under(Spell::Isolated(node)) {
+            // Held back, and delivered when the cut is over.
+            if let StoreCall::Commit(t) = &call
+                && self.rng.random_bool(0.5)
+            {
+                let until = self.until(Spell::Isolated(node));
+                self.at(until, Happening::LateCommit { node, sent: self.now, transaction: t.clone() });
+            }
             StoreReply::Unclear
         } else if refused {
             StoreReply::Refused
