Only withdrawals are told at once; completions go with the status that is due anyway

A status for every completion is up to half as many statuses more where many small jobs end, and nobody asks twice at once about a job that is done. Found on reading the change again; not measured by itself.

--- a/src/coordination/finals.rs
+++ b/src/coordination/finals.rs
@@ -46,8 +46,12 @@
         }
         let recorded = Recorded { id: id.to_owned(), state, tasks, revision, told: false };
         self.recorded_finals.push_back(recorded);
-        // A question that a slow store answers late must not be answered with less than its user has been told.
-        self.status_due = Some(self.now);
+        if state == Final::Withdrawn {
+            // A question that a slow store answers late must not be answered with less than its user has been told.
+            self.status_due = Some(self.now);
+        } else {
+            self.soon_status();
+        }
     }
 
     /// Another controller has recorded that a job is over, which holds for ever: the job's tasks end here too, without
--- a/src/coordination/knowledge.rs
+++ b/src/coordination/knowledge.rs
@@ -15,8 +15,8 @@
 use crate::protocol::units::Micros;
 use crate::protocol::worker::{DirectOrders, Order, ReportAnswer};
 
-/// Shows that a controller may act at this moment: what answers or orders something can only be made with one, and
-/// there is no other way to one than to have asked.
+/// Shows that a controller may act at this moment: answers to reports and orders are made with one, and there is no
+/// other way to one than to have asked.
 pub(crate) struct Proof(());
 
 impl Proof {
