--- a/src/coordination/simulation/meetings.rs
+++ b/src/coordination/simulation/meetings.rs
@@ -123,17 +123,6 @@
     assert_eq!(world.lives[node], life);
 }
 
-/// Runs on, in calm, until all jobs are over: withdrawn ones are gone, the others done.
-fn all_over(world: &mut World, what: &str) {
-    world.calm_after = world.now;
-    world.passed_over = None;
-    world.run(world.now + Micros::from_secs(400));
-    for (id, wish) in &world.jobs {
-        let over = wish.refused || wish.told_final.is_some();
-        assert!(over, "{what}: {id} is not over\n{}", world.describe(id));
-    }
-}
-
 /// Guards the gap's other forms: two controllers are refused; one is refused twice; one ends inside and is back at
 /// once; the store is back for a second only, so that some have their full time again and others do not.
 #[test]
@@ -165,7 +154,7 @@
                 world.crash_for(leader, Micros::from_millis(300));
             }
             world.run(again + Micros::from_secs(60));
-            all_over(&mut world, &format!("form {form}, seed {seed}"));
+            world.all_over(400, &format!("form {form}, seed {seed}"));
         }
     }
 }
@@ -199,7 +188,7 @@
             world.crash_for(leader, Micros::from_secs(if seed % 2 == 0 { 1 } else { 25 }));
             world.run(world.now + Micros::from_secs(7));
         }
-        all_over(&mut world, &format!("seed {seed}"));
+        world.all_over(400, &format!("seed {seed}"));
         // A completion that nobody had recorded when its controller ended may be lost with it.
         assert!(world.met.done_again <= 2, "seed {seed}: {} tasks ran again", world.met.done_again);
     }
@@ -247,7 +236,7 @@
             }
             world.run(world.now + Micros::from_secs(6));
         }
-        all_over(&mut world, &format!("seed {seed}"));
+        world.all_over(400, &format!("seed {seed}"));
     }
 }
 
@@ -264,7 +253,7 @@
             }
             world.run(world.now + Micros::from_secs(4));
         }
-        all_over(&mut world, &format!("seed {seed}"));
+        world.all_over(400, &format!("seed {seed}"));
     }
 }
 
@@ -286,7 +275,7 @@
         assert!(confirmed > 0, "seed {seed}: nothing was withdrawn through another");
         world.passed_over = None;
         world.run(world.now + length);
-        all_over(&mut world, &format!("seed {seed}"));
+        world.all_over(400, &format!("seed {seed}"));
         late += world.met.late_words;
     }
     assert!(late > 50, "only {late} words came late");
@@ -340,7 +329,7 @@
         }
         world.run(world.now + Micros::from_secs(80));
         world.runs_for = S..2 * S;
-        all_over(&mut world, &format!("seed {seed}"));
+        world.all_over(400, &format!("seed {seed}"));
     }
     assert!(out_of_reach > 100, "only {out_of_reach} tasks were out of reach when their leader ended");
 }
--- a/src/coordination/simulation/returns.rs
+++ b/src/coordination/simulation/returns.rs
@@ -22,16 +22,6 @@
     world
 }
 
-/// All is calm from here on: what was accepted must be over.
-fn all_over(world: &mut World, seed: u64) {
-    world.calm_after = world.now;
-    world.run(world.now + Micros::from_secs(600));
-    for (id, wish) in &world.jobs {
-        let over = wish.refused || wish.told_final.is_some();
-        assert!(over, "seed {seed}: {id} is not over\n{}", world.describe(id));
-    }
-}
-
 /// Guards against jobs held back by machines that have nothing to do with them: a controller that is back
 /// before anybody has taken it for ended is granted its own machines under a new life, and nobody but it
 /// holds them, so no holder could tell it what is on the silent ones. Any other controller can.
@@ -56,7 +46,7 @@
             machines.iter().take(2).filter(|name| c.machines.get(*name).is_some_and(|m| !m.resolved));
         assert_eq!(silent.count(), 2, "seed {seed}: the silent machines were heard");
         assert!(c.placing && !c.taking_over, "seed {seed}: back for 1 s, waits for {:?}", c.unresolved);
-        all_over(&mut world, seed);
+        world.all_over(600, &format!("seed {seed}"));
     }
 }
 
@@ -106,7 +96,7 @@
                 }
                 world.run(world.now + Micros::from_millis(1_500));
             }
-            all_over(&mut world, seed);
+            world.all_over(600, &format!("seed {seed}"));
         }
         assert!(met >= 6, "{name}: met only {met} times");
     }
@@ -128,7 +118,7 @@
         }
         let started = world.started - before;
         assert!(started > 200, "seed {seed}: {started} starts while controllers ended again and again");
-        all_over(&mut world, seed);
+        world.all_over(600, &format!("seed {seed}"));
     }
 }
 
@@ -147,7 +137,7 @@
         for c in world.controllers.iter().flatten() {
             assert!(c.placing && !c.taking_over, "seed {seed}: {} waits for {:?}", c.me(), c.unresolved);
         }
-        all_over(&mut world, seed);
+        world.all_over(600, &format!("seed {seed}"));
     }
 }
 
--- a/src/coordination/simulation/rules.rs
+++ b/src/coordination/simulation/rules.rs
@@ -63,6 +63,17 @@
         }
     }
 
+    /// All is calm from here on, and after so many seconds what was accepted must be over.
+    pub(super) fn all_over(&mut self, seconds: u64, what: &str) {
+        self.calm_after = self.now;
+        self.passed_over = None;
+        self.run(self.now + Micros::from_secs(seconds));
+        for (id, wish) in &self.jobs {
+            let over = wish.refused || wish.told_final.is_some();
+            assert!(over, "{what}: {id} is not over\n{}", self.describe(id));
+        }
+    }
+
     /// What must hold at every moment.
     pub(super) fn check(&mut self) {
         let limit = (self.settings[0].params.teams[0].cpus_max * 1e3) as u64;
