Reproduced: a confirmation meant for a former process lets a team exceed its limit

The seeded cluster can now stall a controller between a decision and its sending, counts confirmations of statuses that were never sent, and plays random runs with every team at both its limits.

--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -3,10 +3,12 @@
 
 mod abuse;
 mod asking;
+mod at_limits;
 mod cloud;
 mod deafness;
 mod evictions;
 mod fleets;
+mod former_lives;
 mod idle;
 mod limits;
 mod looks;
@@ -145,6 +147,12 @@
     },
     /// A spell begins, until then.
     Befalls(Spell, Micros),
+    /// What a controller decided before it stood still leaves now.
+    Leaves {
+        node: usize,
+        life: u64,
+        effects: Vec<Effect>,
+    },
 }
 
 struct Scheduled(Micros, u64, Happening);
@@ -186,6 +194,8 @@
     done_again: u32,
     /// Tasks that a worker ended since nobody had renewed its lease.
     lost_by_lease: usize,
+    /// Confirmations of statuses that the process they came to had not sent.
+    unasked_confirmations: u32,
     /// Words of controllers that came more than five seconds late.
     late_words: u32,
     /// The longest that a task was there after its job's withdrawal had been recorded, and confirmed.
@@ -256,6 +266,8 @@
     far_apart: bool,
     /// A controller that users do not get to: the balancer has them elsewhere.
     passed_over: Option<usize>,
+    /// Until when controllers that stalled before sending something stand still.
+    stalled_until: Vec<Micros>,
     /// When each controller's newest transaction was carried out, by when it was sent.
     newest_commit: Vec<Micros>,
     met: Met,
@@ -382,6 +394,7 @@
             runs_for: 2 * S..20 * S,
             far_apart: false,
             passed_over: None,
+            stalled_until: vec![Micros::ZERO; size.controllers],
             newest_commit: vec![Micros::ZERO; size.controllers],
             met: Met::default(),
             mistaken: BTreeSet::new(),
@@ -390,24 +403,25 @@
             alone: false,
             changes: Vec::new(),
             fate_of: None,
-            boots: if trouble.quick_boots { 200 * MS..2 * S } else { S..15 * S },
-            links: if trouble.slow_links { 50 * MS..400 * MS } else { 0..0 },
+            boots: 0..0,
+            links: 0..0,
             starts_take: MS..5 * MS,
             last_words: BTreeMap::new(),
-            keeps_reports: trouble.kept_reports,
+            keeps_reports: 0.0,
             kept: Vec::new(),
             last_leader: 0,
-            withdraw_at_end: trouble.at_end,
+            withdraw_at_end: 0.0,
             controller_zones: (0..size.controllers).map(|n| ["east", "west"][n % 2]).collect(),
             all_away: Micros::ZERO,
             next_end: Micros::ZERO,
             begun: BTreeSet::new(),
-            looks: trouble.looks,
+            looks: 0.0,
             stops: Vec::new(),
             judges_arrivals: true,
-            judges_neglect: trouble.judges_neglect,
+            judges_neglect: false,
             idle: Idle::default(),
         };
+        world.bring(trouble);
         for n in 0..size.controllers {
             world.at(Micros::from_millis(10 * n as u64), Happening::Start(n));
         }
@@ -476,12 +490,17 @@
             Happening::Tick(n)
             | Happening::ToController { node: n, .. }
             | Happening::Copy { node: n, .. }
-                if self.under(Spell::StandsStill(n)) =>
+                if self.still_until(n) > self.now =>
             {
                 self.meets("stands_still");
-                let until = self.until(Spell::StandsStill(n));
+                let until = self.still_until(n);
                 self.at(until, what);
             }
+            Happening::Leaves { node, life, effects } => {
+                if self.lives[node] == life {
+                    self.carry_out(node, effects);
+                }
+            }
             Happening::Tick(n) => {
                 if self.controllers[n].is_some() {
                     if n == 0 || self.controllers[0].is_none() {
@@ -501,6 +520,7 @@
                 {
                     self.meets("repeats");
                 }
+                self.note_unasked(node, &event);
                 if self.lives[node] == life && !(users && self.zone_cut(self.controller_zones[node], "")) {
                     self.tell(node, event);
                 }
--- a/src/coordination/simulation/network.rs
+++ b/src/coordination/simulation/network.rs
@@ -12,6 +12,31 @@
         let clock = self.clock(node);
         let Some(controller) = &mut self.controllers[node] else { return };
         let effects = controller.handle(clock, event);
+        let stalls = Spell::StallsBeforeSending(node);
+        if self.under(stalls) && !effects.is_empty() {
+            self.meets("stalls_before_sending");
+            let (life, until) = (self.lives[node], self.until(stalls));
+            self.stalled_until[node] = until;
+            return self.at(until, Happening::Leaves { node, life, effects });
+        }
+        self.carry_out(node, effects);
+    }
+
+    /// Counts a confirmation of a status that this process has never sent.
+    pub(super) fn note_unasked(&mut self, node: usize, event: &Event) {
+        let sent = self.controllers[node].as_ref().map_or(u64::MAX, |c| c.status_sequence);
+        if let Event::Peer(_, PeerMessage::Seen { sequence, .. }) = event {
+            self.met.unasked_confirmations += u32::from(*sequence > sent);
+        }
+    }
+
+    /// Until when a controller takes no event.
+    pub(super) fn still_until(&self, node: usize) -> Micros {
+        self.until(Spell::StandsStill(node)).max(self.stalled_until[node])
+    }
+
+    /// What a controller has decided leaves it.
+    pub(super) fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
         let life = self.lives[node];
         for effect in effects {
             match effect {
--- a/src/coordination/simulation/pairs.rs
+++ b/src/coordination/simulation/pairs.rs
@@ -53,7 +53,7 @@
 
 /// Every two troubles: their numbers in the list. The first troubles' come first, as they were numbered when there were
 /// no more; then those of each later trouble with all before it.
-fn pairs() -> Vec<(usize, usize)> {
+pub(super) fn pairs() -> Vec<(usize, usize)> {
     let first = 23;
     let mut pairs: Vec<_> = (0..first).flat_map(|i| (i + 1..first).map(move |j| (i, j))).collect();
     pairs.extend((first..troubles().len()).flat_map(|j| (0..j).map(move |i| (i, j))));
@@ -61,7 +61,7 @@
 }
 
 /// The two troubles of a pair together, with a third of the jobs withdrawn, and the pair's name.
-fn both((i, j): (usize, usize)) -> (String, Trouble) {
+pub(super) fn both((i, j): (usize, usize)) -> (String, Trouble) {
     let troubles = troubles();
     let mut both = Trouble { withdrawn: 0.3, ..Default::default() };
     troubles[i].1(&mut both);
--- a/src/coordination/simulation/spells.rs
+++ b/src/coordination/simulation/spells.rs
@@ -17,6 +17,9 @@
     Isolated(usize),
     /// A controller stands still while its clock runs on: what comes for it waits.
     StandsStill(usize),
+    /// A controller stands still between a decision and the sending of what it has decided: the first event in the spell
+    /// is handled, its effects leave when the spell is over, and whatever else comes for it waits.
+    StallsBeforeSending(usize),
     /// Two controllers do not reach each other.
     Apart(usize, usize),
     /// No controller reaches another.
--- a/src/coordination/simulation/troubles.rs
+++ b/src/coordination/simulation/troubles.rs
@@ -67,6 +67,17 @@
 }
 
 impl World {
+    /// These troubles may be drawn from now on.
+    pub(super) fn bring(&mut self, trouble: Trouble) {
+        self.trouble = trouble;
+        self.boots = if trouble.quick_boots { 200 * MS..2 * S } else { S..15 * S };
+        self.links = if trouble.slow_links { 50 * MS..400 * MS } else { 0..0 };
+        self.keeps_reports = trouble.kept_reports;
+        self.withdraw_at_end = trouble.at_end;
+        self.looks = trouble.looks;
+        self.judges_neglect = trouble.judges_neglect;
+    }
+
     pub(super) fn make_trouble(&mut self, seconds: f64) {
         let t = self.trouble;
         let s = |p: f64| p * seconds;
@@ -320,8 +331,13 @@
 /// Plays runs, each with what it is called, one after the other; in a soak on all processors, and all that failed
 /// are named at the end.
 pub(super) fn play_each(runs: Vec<(String, u64, Trouble)>) {
+    play_each_by(runs, |seed, trouble| drop(play(seed, trouble)));
+}
+
+/// The same, each played by a function of one's own.
+pub(super) fn play_each_by(runs: Vec<(String, u64, Trouble)>, play: fn(u64, Trouble)) {
     if soak() <= 1 {
-        return runs.into_iter().for_each(|(_, seed, trouble)| drop(play(seed, trouble)));
+        return runs.into_iter().for_each(|(_, seed, trouble)| play(seed, trouble));
     }
     let next = std::sync::atomic::AtomicUsize::new(0);
     let failed = std::sync::Mutex::new(Vec::new());
@@ -331,7 +347,7 @@
                 while let Some((name, seed, trouble)) =
                     runs.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed))
                 {
-                    if let Err(panic) = std::panic::catch_unwind(|| drop(play(*seed, *trouble))) {
+                    if let Err(panic) = std::panic::catch_unwind(|| play(*seed, *trouble)) {
                         let why = panic.downcast_ref::<String>().and_then(|text| text.lines().next());
                         eprintln!("failed: {name}, seed {seed}: {}", why.unwrap_or_default());
                         failed.lock().unwrap().push((name.as_str(), *seed));
