A reply counts only with the registration that asked for it

Cause: controllers number their statuses and questions within a process, while the address they are answered at outlives it.

Change: Seen, Witness and Testimony name the registration that asks; what is meant for another is dropped in one place and counted (replies_misdirected_total). A worker's reply counts only under the present registration's grant.

Ruled out: random first numbers (a late reply could still fall beyond); dropping late statuses at the member (it may rightly not know of the new registration yet).

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -453,10 +453,13 @@
 
     pub(super) fn worker_replied(&mut self, name: &str, token: u64, reply: DirectReply) {
         let now = self.now;
-        let Some(m) = self.machines.get_mut(name) else { return };
-        if m.row.token != token || m.row.owner != self.settings.member {
+        let Some(m) = self.machines.get(name) else { return };
+        // To a former registration's order it says nothing of what else that one had sent.
+        if m.row.token != token || !self.owns(m) {
+            self.counters.replies_misdirected += 1;
             return;
         }
+        let Some(m) = self.machines.get_mut(name) else { return };
         m.talking = false;
         if !matches!(reply, DirectReply::Unclear | DirectReply::NotSent) {
             if m.hearing.deaf() {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -274,6 +274,8 @@
     /// Takeovers that did not wait for some machine, because all that may be on it was known.
     pub takeovers_listed: u64,
     pub takeovers: u64,
+    /// Replies that were meant for a former registration of this controller, or a former grant.
+    pub replies_misdirected: u64,
     pub store_failures: u64,
     pub cloud_failures: u64,
 }
--- a/src/coordination/simulation/at_limits.rs
+++ b/src/coordination/simulation/at_limits.rs
@@ -1,7 +1,7 @@
 //! Random runs in which every team has more work than either of its limits allows, of all shapes, under any two troubles
 //! and, beside them, controllers that stall between a decision and its sending.
 
-use super::meetings_limits::{ask_to_withdraw, at_their_limits, go, running};
+use super::meetings_limits::{ask_to_withdraw, go, running, with_more_than_limits_allow};
 use super::pairs::{both, pairs};
 use super::*;
 
@@ -36,7 +36,8 @@
 
 /// Plays one run; it ends in calm, when all that was accepted and not withdrawn must be over.
 fn play(seed: u64, trouble: Trouble) -> World {
-    let (mut world, mut n) = at_their_limits(seed);
+    let (mut world, mut n) = with_more_than_limits_allow(seed);
+    go(&mut world, Micros::from_secs(25));
     world.bring(trouble);
     world.runs_for = 5 * S..40 * S;
     let mut endless = Vec::new();
--- a/src/coordination/simulation/former_lives.rs
+++ b/src/coordination/simulation/former_lives.rs
@@ -63,3 +63,78 @@
     }
     assert_eq!(untold, 0, "tasks began of which a member had not been told");
 }
+
+/// A controller is back within a fraction of a second and has not accounted for the machines of others yet.
+fn taking_over_again(seed: u64) -> (World, usize, usize) {
+    let mut world = roomy(seed, &[("blue", 40.0, 0.0), ("green", 0.0, 0.0)]);
+    let leader = world.leader().unwrap();
+    let back = (leader + 1) % 3;
+    let works = owned_by(back).next().unwrap();
+    let job = of_team(&mut world, works, "blue", 30);
+    assert!(until(&mut world, Micros::from_secs(30), |w| there(w, &job) == 30), "seed {seed}");
+    world.crash_for(back, Micros::from_millis(200));
+    let open = |w: &World| w.controllers[back].as_ref().is_some_and(|c| c.taking_over && c.adopting() > 0);
+    assert!(until(&mut world, Micros::from_secs(10), open), "seed {seed}: nothing is taken over");
+    (world, leader, back)
+}
+
+/// Guards takeovers against testimony that was given to a former process: it leaves out what the asker itself ordered,
+/// which the new process does not know.
+#[test]
+fn testimony_given_to_a_former_process_accounts_for_nothing() {
+    for seed in 320..324 {
+        let (mut world, leader, back) = taking_over_again(seed);
+        let witness = world.controllers[leader].as_ref().unwrap().life();
+        let asker = world.controllers[back].as_ref().unwrap();
+        let open = asker.adopting();
+        let words = asker.machines.values().map(|m| asker.word(m)).collect();
+        let former = asker.life().1 - 1;
+        let late =
+            PeerMessage::Testimony { stamp: witness.1, asker: former, question: u64::MAX, machines: words };
+        // Asked once, so that answers count.
+        world.controllers[back].as_mut().unwrap().inquiry.ask(Micros::ZERO);
+        world.tell(back, Event::Peer(witness.0, late));
+        let asker = world.controllers[back].as_ref().unwrap();
+        assert_eq!(asker.adopting(), open, "seed {seed}: machines were accounted for by it");
+        assert_eq!(asker.counters.replies_misdirected, 1, "seed {seed}");
+    }
+}
+
+/// New views are late, so that a controller that has joined again still reads its former registration's grants.
+fn late_views(t: &Transaction) -> Option<Fate> {
+    let written = t.writes.iter().any(|w| matches!(w, Write::Put { key, .. } if key == records::VIEW));
+    written.then_some(Fate::Late(Micros::from_secs(3)))
+}
+
+/// Guards takeovers against a worker's reply to an order of a former registration: it was taken for proof that all on the
+/// machine is known, while an answer of that registration's was still under way with a start.
+#[test]
+fn a_reply_to_a_former_registrations_order_proves_nothing() {
+    for seed in 330..334 {
+        let mut world = roomy(seed, &[("blue", 40.0, 0.0), ("green", 0.0, 0.0)]);
+        let leader = world.leader().unwrap();
+        let rejoins = (leader + 1) % 3;
+        let former = world.controllers[rejoins].as_ref().unwrap().life();
+        world.fate_of = Some(late_views);
+        let removed = vec![Write::delete(records::node(&former.0))];
+        world.store.commit(Transaction { conditions: Vec::new(), writes: removed });
+        let again = |w: &World| {
+            let c = w.controllers[rejoins].as_ref().unwrap();
+            c.phase == crate::coordination::Phase::Active && c.life().1 > former.1
+        };
+        assert!(until(&mut world, Micros::from_secs(5), again), "seed {seed}: has not joined again");
+        let c = world.controllers[rejoins].as_ref().unwrap();
+        let held = c.machines.iter().find(|(_, m)| (&m.row.owner, m.row.node) == (&former.0, former.1));
+        let (machine, token) =
+            held.map(|(name, m)| (name.clone(), m.row.token)).expect("its machines are granted anew already");
+        let mut report = world.workers[&machine].report(&machine, world.now);
+        report.tally += 1;
+        world.tell(
+            rejoins,
+            Event::Worker { machine: machine.clone(), token, reply: DirectReply::Done(Box::new(report)) },
+        );
+        let c = world.controllers[rejoins].as_ref().unwrap();
+        assert!(!c.machines[&machine].resolved && !c.machines[&machine].known, "seed {seed}");
+        assert_eq!(c.counters.replies_misdirected, 1, "seed {seed}");
+    }
+}
--- a/src/coordination/simulation/meetings_limits.rs
+++ b/src/coordination/simulation/meetings_limits.rs
@@ -271,8 +271,9 @@
 
 const TEAMS: [(&str, f64, f64); 3] = [("blue", 30.0, 6.0), ("green", 20.0, 4.0), ("red", 12.0, 3.0)];
 
-/// A cluster in which each team has more work of both kinds than its limits let it have at once.
-pub(super) fn at_their_limits(seed: u64) -> (World, u32) {
+/// A cluster in which each team has just been given more work of both kinds than its limits let it have at once, and how
+/// many jobs these are.
+pub(super) fn with_more_than_limits_allow(seed: u64) -> (World, u32) {
     let mut world = World::new(seed, Trouble::default());
     limit(&mut world, &TEAMS);
     world.runs_for = 25 * S..60 * S;
@@ -282,6 +283,12 @@
     world.run(Micros::from_secs(6));
     let mut n = 0;
     more_work(&mut world, &mut n, 8);
+    (world, n)
+}
+
+/// The same, once the limits are used up.
+pub(super) fn at_their_limits(seed: u64) -> (World, u32) {
+    let (mut world, n) = with_more_than_limits_allow(seed);
     let full = |w: &World| {
         let at = |((_, cpus, gpus), (cpu, gpu)): (&(&str, f64, f64), &(u64, u64))| {
             *cpu as f64 >= (cpus - 1.0) * 1e3 && *gpu as f64 >= gpus * 5e2
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -116,22 +116,26 @@
                 .collect(),
         };
         let question = self.inquiry.ask(self.now);
+        let stamp = self.life().1;
         tracing::debug!(question, to = ?witnesses, open = self.unresolved.len(), "asking for testimony");
         for to in witnesses {
-            self.effects.push(Effect::Send(to, PeerMessage::Witness { question }));
+            self.effects.push(Effect::Send(to, PeerMessage::Witness { stamp, question }));
         }
     }
 
     /// Tells one who takes jobs over what is known here of machines that are not known in full there.
-    pub(super) fn testify(&mut self, to: String, question: u64) {
-        let Some(node) = self.nodes.get(&to) else { return };
-        let (me, asker) = (self.life(), (to.clone(), *node));
+    pub(super) fn testify(&mut self, asker: Life, question: u64) {
+        // What the asker itself has ordered it need not be told; a later life of the same controller would.
+        if self.nodes.get(&asker.0) != Some(&asker.1) {
+            return;
+        }
+        let me = self.life();
         // Of others their present holders tell.
         let open = self.machines.iter().filter(|(_, m)| !(m.unused() || m.resolved && self.holds(m)));
         let known = open.filter(|(name, _)| self.ledger.listed_for(name, &me, &asker));
         let machines = known.map(|(_, m)| self.word(m)).collect();
-        let testimony = PeerMessage::Testimony { stamp: me.1, question, machines };
-        self.effects.push(Effect::Send(Some(to), testimony));
+        let testimony = PeerMessage::Testimony { stamp: me.1, asker: asker.1, question, machines };
+        self.effects.push(Effect::Send(Some(asker.0), testimony));
     }
 
     /// Another controller has told all that it knows of machines.
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -197,14 +197,18 @@
         if self.phase != Phase::Active {
             return;
         }
+        if message.meant_for().is_some_and(|registration| registration != self.life().1) {
+            self.counters.replies_misdirected += 1;
+            return;
+        }
         match message {
             PeerMessage::Status(status) => self.peer_status(from, status),
             PeerMessage::Again => self.tell_all(from),
-            PeerMessage::Witness { question } => self.testify(from, question),
-            PeerMessage::Testimony { stamp, question, machines } => {
+            PeerMessage::Witness { stamp, question } => self.testify((from, stamp), question),
+            PeerMessage::Testimony { stamp, question, machines, .. } => {
                 self.testified(&from, stamp, question, &machines);
             }
-            PeerMessage::Seen { stamp, sequence } => {
+            PeerMessage::Seen { stamp, sequence, .. } => {
                 self.status_heard((from.clone(), stamp), sequence);
                 self.confirmed((from, stamp), sequence);
             }
@@ -253,7 +257,7 @@
         let reply = match hearing {
             Hearing::Complete if status.confirm || status.whole => {
                 let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
-                Some(PeerMessage::Seen { stamp, sequence: status.sequence })
+                Some(PeerMessage::Seen { stamp, asker: status.stamp, sequence: status.sequence })
             }
             Hearing::Broken if now.since(peer.asked_again) >= ASK_SPACING => {
                 peer.asked_again = now;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -114,20 +114,26 @@
     Status(Status),
     /// The sender wants to hear of all the receiver's machines: it has missed a status.
     Again,
-    /// The sender takes jobs over: what does the receiver know of machines that are not known in full?
+    /// The sender, under this registration, takes jobs over: what does the receiver know of machines that are not known
+    /// in full?
     Witness {
+        stamp: u64,
         question: u64,
     },
     /// Machines, whoever holds them, of which the sender, under this registration, knows all that may be
     /// there though their holders do not say so yet.
     Testimony {
         stamp: u64,
+        /// The registration that asked.
+        asker: u64,
         question: u64,
         machines: Vec<MachineStatus>,
     },
-    /// The sender, under this registration, has taken in all statuses up to this number.
+    /// The sender, under this registration, has taken in all statuses of the receiver's up to this number.
     Seen {
         stamp: u64,
+        /// The registration under which the receiver sent them.
+        asker: u64,
         sequence: u64,
     },
     /// The leader's volumes, one for each admitted job.
@@ -162,3 +168,16 @@
         spot: bool,
     },
 }
+
+impl PeerMessage {
+    /// The registration that a reply is meant for; none of a message that is no reply.
+    ///
+    /// Statuses and questions are numbered within a process, and the address outlives it: a reply that is late reaches the
+    /// next process, or the next registration of the same one, which has sent other things under these numbers.
+    pub fn meant_for(&self) -> Option<u64> {
+        match self {
+            PeerMessage::Seen { asker, .. } | PeerMessage::Testimony { asker, .. } => Some(*asker),
+            _ => None,
+        }
+    }
+}
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -127,7 +127,7 @@
 fn describe(c: &Controller) -> String {
     let (held, known) = c.machine_counts();
     let n = &c.counters;
-    let rows: [(&str, u64); 36] = [
+    let rows: [(&str, u64); 37] = [
         ("healthy", c.healthy().into()),
         ("entitled", c.entitled().into()),
         ("leading", c.leading().into()),
@@ -162,6 +162,7 @@
         ("confirmations_owed", c.confirmations_owed().into()),
         ("ends_unsettled", c.ends_unsettled() as u64),
         ("records_unread", c.records_unread() as u64),
+        ("replies_misdirected_total", n.replies_misdirected),
         ("store_failures_total", n.store_failures),
         ("cloud_failures_total", n.cloud_failures),
     ];
