One quota module: usage, binding, division, the permit of each start, and checks at run time

What was spread over placement.rs, leader.rs and allotments.rs stands in coordination/quota: what counts as used and whether a limit binds (usage), the leader's division (division, grants), the permit without which no start is planned or sent (permit), and what must hold, checked as it happens (guard). A planned start carries its permit, which holds for the view and registration it was issued in and is checked again where the command leaves, in an answer or directly. In a new view starts that were planned and not sent go on where the limit does not bind, and are taken back where it does: their share is void.

A breach is an error log line with what the decision rested on, a counter by rule on /desk, and halts the team's starts there until the rule holds again; in tests it panics. Usage of all members together may exceed a limit for two named reasons (machines unresolved, unknown tasks).

Tests: each check fires (quota_guard); what was planned under a former view's share is not sent.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -8,8 +8,7 @@
 
 use crate::bookkeeping::blocks;
 use crate::bookkeeping::budget::Urgency;
-use crate::bookkeeping::records::{self, Allotment, BlockRow, QuotaRecord, ViewRecord};
-use crate::coordination::allotments::{self, Part};
+use crate::bookkeeping::records::{self, BlockRow, ViewRecord};
 use crate::coordination::blocks::{SETTLE, ZonesLeft};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
@@ -20,7 +19,6 @@
 use crate::protocol::peer::{PeerMessage, Volume};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
 use crate::protocol::units::{Micros, Resources};
-use crate::settings::Team;
 
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
@@ -394,6 +392,7 @@
         if self.lead.as_ref().is_some_and(|l| l.granting) {
             return;
         }
+        self.check_usage();
         if self.allot() {
             return;
         }
@@ -674,124 +673,17 @@
         2 * spec.floor() as usize
     }
 
-    /// Divides the limits that bind among the members. A shrink is confirmed before anyone grows.
-    ///
-    /// In a new view, and of a team whose limit has not bound in it, the first record gives nobody anything. From then on
-    /// all count, whatever each of them believes to be bound, and nobody uses more than it does; only then is what they
-    /// use known well enough to be divided. Divided at once, by a record that was carried out late, it met a controller
-    /// that had counted nothing meanwhile, and had gone on beyond its part.
-    fn allot(&mut self) -> bool {
-        let bound = self.bound_teams();
-        let divided = self.quota.0.view == self.view_stamp;
-        let named = |t: &Team| divided && self.quota.0.rows.iter().any(|r| r.team == t.name);
-        // A team without work needs no part; its limit binds all the same.
-        let works = |t: &Team| named(t) || self.jobs.values().any(|j| j.spec.team == t.name);
-        let teams = self.settings.params.teams.iter().filter(|t| bound.contains(&t.name) && works(t));
-        let teams: Vec<Team> = teams.cloned().collect();
-        if teams.is_empty() || self.view.members.is_empty() {
-            return false;
-        }
-        let opens = !teams.iter().all(named);
-        let waits = !opens && !self.may_divide();
-        if let Some(lead) = &mut self.lead {
-            lead.awaits_words = waits;
-        }
-        if waits {
-            return false;
-        }
-        let mut rows = Vec::new();
-        for team in &teams {
-            // What another team's limit calls for leaves the parts of those that are divided as they are: they are in
-            // force, and what their holders use may have grown up to them since it was last heard.
-            let parts = if opens { Vec::new() } else { self.divide(team) };
-            for (i, (member, node)) in self.view.members.iter().enumerate() {
-                let (cpu, gpu) = match parts.get(i) {
-                    Some(part) => *part,
-                    None if named(team) => self.part_of(member, *node, team),
-                    None => (0, 0),
-                };
-                rows.push(Allotment {
-                    member: member.clone(),
-                    node: *node,
-                    team: team.name.clone(),
-                    cpu,
-                    gpu,
-                });
-            }
-        }
-        let record = QuotaRecord { view: self.view_stamp, rows };
-        if record == self.quota.0 {
-            return false;
-        }
-        let Some(leader_stamp) = self.leader.as_ref().map(|l| l.2) else { return false };
-        let Ok(value) = serde_json::to_value(record) else { return false };
-        let transaction = Transaction {
-            conditions: vec![
-                Condition::new(records::LEADER, leader_stamp),
-                Condition::new(records::QUOTA, self.quota.1),
-                Condition::new(records::VIEW, self.view_stamp),
-                self.entitlement(),
-            ],
-            writes: vec![Write::put(records::QUOTA, value)],
-        };
-        if let Some(lead) = &mut self.lead {
-            lead.granting = true;
-        }
-        self.store(Urgency::Entitlement, Purpose::Quota, StoreCall::Commit(transaction));
-        true
-    }
-
     /// The last word of a member's present life.
     pub(super) fn word_of(&self, member: &str, node: u64) -> Option<&crate::protocol::peer::Status> {
         self.peers.get(member).and_then(|p| p.status.as_ref()).filter(|s| s.stamp == node)
     }
 
-    /// Every member has accounted for what it took over in the present view.
-    fn all_adopted(&self) -> bool {
-        let done =
-            |m: &str, node| self.word_of(m, node).is_some_and(|s| s.adopted && s.applied >= self.view_stamp);
-        self.view.members.iter().all(|(m, node)| done(m, *node))
-    }
-
     /// Every registered controller has said that it has seen this revision.
     pub(super) fn everyone_applied(&self, revision: u64) -> bool {
         let seen = |m: &str, node| self.word_of(m, node).is_some_and(|s| s.applied >= revision);
         self.nodes.iter().all(|(m, node)| (m == self.me() && self.applied >= revision) || seen(m, *node))
     }
 
-    /// Everyone knows the record in force, and has accounted for what it took over.
-    fn may_divide(&self) -> bool {
-        self.all_adopted() && self.everyone_applied(self.quota.1)
-    }
-
-    /// What a member may use of a team's limit by the record in force: processors and accelerators.
-    fn part_of(&self, member: &str, node: u64, team: &Team) -> (u64, u64) {
-        let mine = |r: &&Allotment| r.member == member && r.node == node && r.team == team.name;
-        self.quota.0.rows.iter().find(mine).map_or((0, 0), |r| (r.cpu, r.gpu))
-    }
-
-    /// What each member may use of a team's limits from now on: processors and accelerators.
-    fn divide(&self, team: &Team) -> Vec<(u64, u64)> {
-        let part = |(member, node): &(String, u64), gpu: bool| {
-            let of = |pair: (u64, u64)| if gpu { pair.1 } else { pair.0 };
-            let amount = |need: Resources| of((need.cpu, need.gpu));
-            let has = of(self.part_of(member, *node, team));
-            let word = self.word_of(member, *node).and_then(|s| s.usage.iter().find(|u| u.0 == team.name));
-            let uses = word.map_or(0, |u| of((u.1, u.2)));
-            let owned = |j: &&Job| j.owner.as_deref() == Some(member) && j.spec.team == team.name;
-            let wish = |j: &Job| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32));
-            let wishes = self.jobs.values().filter(owned).map(wish).sum();
-            let short = self.jobs.values().filter(|j| j.volume > j.placed()).filter(owned);
-            let step = short.map(|j| amount(j.spec.need()) * u64::from(j.spec.floor())).min().unwrap_or(0);
-            Part { has, uses, wishes, step }
-        };
-        let next = |limit: f64, gpu: bool| {
-            let parts: Vec<Part> = self.view.members.iter().map(|m| part(m, gpu)).collect();
-            allotments::divide((limit * 1e3) as u64, &parts)
-        };
-        next(team.cpus_max, false).into_iter().zip(next(team.gpus_max, true)).collect()
-    }
-
     /// Removes completion records whose job is over.
     fn cleanup(&mut self) {
         let Some(lead) = &mut self.lead else { return };
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -186,7 +186,7 @@
         // may arrive as long as the worker has seen no newer token and begun no newer session.
         for (id, t) in &machine.tasks {
             let may_come = match t.pending {
-                Some(Pending::Planned) => true,
+                Some(Pending::Planned(_)) => true,
                 Some(Pending::Sent { session, .. }) => direct && session == report.session,
                 Some(Pending::Direct { session, token, .. }) => {
                     session == report.session && report.token <= token
@@ -286,6 +286,7 @@
             .unwrap_or_default();
         self.drop_planned(name, |id| unwanted.contains(id));
         self.drop_disowned(name);
+        self.drop_unpermitted(name);
         let live: BTreeMap<String, bool> = self
             .machines
             .get(name)
@@ -305,7 +306,7 @@
             })
             .unwrap_or_default();
         let now = self.now;
-        let settled = self.settled();
+        let (settled, in_force) = (self.settled(), self.permits_in_force());
         let Some(machine) = self.machines.get_mut(name) else {
             return proof.answer(0, orders);
         };
@@ -322,7 +323,7 @@
                 t.stop = Some(Micros::ZERO);
             }
             if let Some(grace) = t.stop
-                && t.pending != Some(Pending::Planned)
+                && !t.planned()
                 && (t.state != TaskState::Saving || grace == Micros::ZERO)
             {
                 self.counters.stops += 1;
@@ -346,7 +347,7 @@
                 *repeated = Some(tally);
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
-            if t.may_start(settled) {
+            if t.may_start(settled, in_force).is_some() {
                 t.pending = Some(Pending::Sent { session, tally });
                 t.since = now;
                 self.counters.starts += 1;
@@ -376,7 +377,7 @@
     fn drop_disowned(&mut self, name: &str) {
         let me = self.settings.member.as_str();
         let Some(machine) = self.machines.get(name) else { return };
-        let planned = machine.tasks.iter().filter(|(_, t)| t.pending == Some(Pending::Planned));
+        let planned = machine.tasks.iter().filter(|(_, t)| t.planned());
         let foreign = |id: &TaskId| self.jobs.get(&id.job).is_none_or(|j| j.owner.as_deref() != Some(me));
         let disowned: Vec<TaskId> = planned.map(|(id, _)| id).filter(|id| foreign(id)).cloned().collect();
         if !disowned.is_empty() {
@@ -392,7 +393,7 @@
         let recent = Micros(self.report_every.0 * 2);
         let overdue = self.latest_report() + OVERDUE;
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
-        let settled = self.settled();
+        let (settled, in_force) = (self.settled(), self.permits_in_force());
         for (name, m) in &mut self.machines {
             let mine = m.row.node == stamp && m.row.owner == self.settings.member;
             let known = m.session != 0 || !m.resolved;
@@ -413,8 +414,7 @@
                 }
                 // Room is made before it is used. A stop that arrives late finds its attempt gone.
                 for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
-                    let grace =
-                        t.stop.filter(|_| !t.told && !t.ended() && t.pending != Some(Pending::Planned));
+                    let grace = t.stop.filter(|_| !t.told && !t.ended() && !t.planned());
                     if let Some(grace) = grace.filter(|g| t.state != TaskState::Saving || *g == Micros::ZERO)
                     {
                         t.told = true;
@@ -424,8 +424,8 @@
                     }
                 }
                 for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
-                    if t.may_start(settled) {
-                        t.pending = Some(Pending::Direct { session, token, repeated: None });
+                    if let Some(permit) = t.may_start(settled, in_force) {
+                        t.pending = Some(Pending::Direct { session, token, permit, repeated: None });
                         t.since = now;
                         self.counters.starts += 1;
                         tracing::debug!(
@@ -481,10 +481,10 @@
                 // earlier call started is not among them: it may be there.
                 for id in &starting {
                     if let Some(t) = m.tasks.get_mut(id)
-                        && let Some(Pending::Direct { session, repeated, .. }) = t.pending
+                        && let Some(Pending::Direct { session, permit, repeated, .. }) = t.pending
                     {
                         let answered = |tally| Pending::Sent { session, tally };
-                        t.pending = Some(repeated.map_or(Pending::Planned, answered));
+                        t.pending = Some(repeated.map_or(Pending::Planned(permit), answered));
                     }
                 }
                 m.talk_after = if first_contact && !silent { now } else { now + ASK_AGAIN };
@@ -492,6 +492,7 @@
                     self.soon_status();
                 }
                 self.drop_disowned(name);
+                self.drop_unpermitted(name);
             }
             DirectReply::Unclear if asked => self.soon_status(),
             DirectReply::Unclear => {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,7 +4,6 @@
 //! be carried out. Nothing here waits, so a seeded test can run a whole cluster step by step.
 
 mod admission;
-mod allotments;
 mod blocks;
 mod failures;
 mod finals;
@@ -16,6 +15,7 @@
 mod membership;
 mod model;
 mod placement;
+mod quota;
 mod replica;
 mod rules;
 mod takeover;
@@ -48,6 +48,7 @@
 use crate::settings::{Settings, Tuning};
 
 pub use model::{Job, Machine};
+pub use quota::Breach;
 
 /// Steady clocks of two machines may drift apart by 0.05%; this leaves a margin.
 pub(crate) const DRIFT: f64 = 0.001;
@@ -335,6 +336,7 @@
     pub(crate) removed: VecDeque<(Micros, String, Resources)>,
     /// Teams whose limits must be counted, as of the present pass.
     pub(crate) bound: BTreeSet<String>,
+    pub(crate) quota_guard: quota::Guard,
     pub(crate) rentals: BTreeMap<String, (Rental, u64)>,
     pub(crate) done_keys: BTreeMap<String, BTreeMap<usize, u64>>,
 
@@ -457,6 +459,7 @@
             strangers: HashMap::new(),
             removed: VecDeque::new(),
             bound: BTreeSet::new(),
+            quota_guard: quota::Guard::default(),
             rentals: BTreeMap::new(),
             done_keys: BTreeMap::new(),
             machines: ByName::default(),
@@ -579,6 +582,7 @@
         self.check_polls();
         self.read_finals();
         self.machines_tick();
+        self.lift_halts();
         self.record_uninformed();
         self.leader_tick();
         self.place_due = true;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -8,6 +8,7 @@
 use marblewalk_retry::Backoff;
 
 use crate::bookkeeping::records::{BlockRow, TaskSet};
+use crate::coordination::quota::{InForce, Permit};
 use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Cause, TaskId, TaskState};
@@ -152,17 +153,17 @@
 /// A start that the machine has not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Pending {
-    Planned,
+    /// Not sent yet; sent only while its permit holds.
+    Planned(Permit),
     /// Sent in the answer to this report.
-    Sent {
-        session: u64,
-        tally: u64,
-    },
+    Sent { session: u64, tally: u64 },
     /// Sent to the worker's address under this token, to this session. Unless the worker says so it
     /// may arrive minutes later, as long as both still hold.
     Direct {
         session: u64,
         token: u64,
+        /// By which it is planned again if the call was certainly not carried out.
+        permit: Permit,
         /// The last report whose answer repeated it.
         repeated: Option<u64>,
     },
@@ -189,10 +190,20 @@
         self.state == TaskState::Ended
     }
 
-    /// A start that may be ordered now: all that must know of it do.
-    pub fn may_start(&self, settled: u64) -> bool {
+    /// A start that has not been sent.
+    pub fn planned(&self) -> bool {
+        matches!(self.pending, Some(Pending::Planned(_)))
+    }
+
+    /// The permit of a start that may be ordered now: it holds, and all that must know of the start do.
+    pub(in crate::coordination) fn may_start(&self, settled: u64, in_force: InForce) -> Option<Permit> {
         let announced = self.announced != 0 && self.announced <= settled;
-        self.pending == Some(Pending::Planned) && self.stop.is_none() && announced
+        match self.pending {
+            Some(Pending::Planned(permit)) if announced && self.stop.is_none() => {
+                in_force.covers(permit).then_some(permit)
+            }
+            _ => None,
+        }
     }
 }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,9 +5,10 @@
 use marblewalk_admission::pool::Turn;
 
 use crate::bookkeeping::budget::Urgency;
-use crate::bookkeeping::records::{self, Allotment, FinalRecord};
+use crate::bookkeeping::records::{self, FinalRecord};
 use crate::coordination::finals::Source;
 use crate::coordination::model::{Job, Machine, Pending, TaskOn};
+use crate::coordination::quota::Allowance;
 use crate::coordination::{ByName, Controller, Purpose, rules};
 use crate::protocol::job::{Final, JobSpec, Shape};
 use crate::protocol::peer::Volume;
@@ -253,6 +254,7 @@
             reserved,
         };
         let mut planned = 0;
+        let mut teams = BTreeSet::new();
         let mut held_back: Option<u8> = None;
         for (Precedence(rank, ..), fetched, id) in order {
             if planned >= MOST_STARTS {
@@ -272,6 +274,11 @@
                 self.place_array(&id, &mut rooms, fetched)
             };
             planned += started;
+            if started > 0
+                && let Some(job) = self.jobs.get(&id)
+            {
+                teams.insert(job.spec.team.clone());
+            }
             if fetched {
                 continue;
             }
@@ -280,6 +287,7 @@
                 held_back = Some(rank);
             }
         }
+        self.check_planned(&teams);
         if planned > 0 {
             // They are ordered when the others have taken them in.
             self.status_due = Some(self.now);
@@ -346,7 +354,8 @@
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
         let short = self.wanted(job).saturating_sub(job.placed()).min(MOST_STARTS as u32);
-        let short = u64::from(short).min(spec.need().times_in(self.team_room(&spec)));
+        let mut allowance = self.allowance(&spec);
+        let short = u64::from(short).min(spec.need().times_in(allowance.room()));
         let zones = self.zone_counts(id);
         let names = if self.may_displace(&spec) {
             // First where the image is, then where it would be if work of lower rank gave way, then
@@ -375,7 +384,7 @@
         let starts: Vec<u32> = (job.next..spec.tasks).filter(open).take(names.len()).collect();
         let attempt = self.next_attempt(id);
         for (index, name) in starts.iter().zip(&names) {
-            self.plan(id, *index, attempt, name);
+            self.plan(id, *index, attempt, name, &mut allowance);
         }
         if let (Some(job), Some(first)) = (self.jobs.get_mut(id), starts.first()) {
             job.next = *first;
@@ -511,7 +520,8 @@
         let total = spec.need();
         let n = u64::from(spec.tasks);
         let whole = total.times(n);
-        if !(Resources { memory: 0, ..whole }).fits(self.team_room(&spec)) {
+        let mut allowance = self.allowance(&spec);
+        if !(Resources { memory: 0, ..whole }).fits(allowance.room()) {
             return 0;
         }
         let mut zones: Vec<Option<String>> = vec![None];
@@ -536,7 +546,7 @@
         rooms.take(&chosen, total);
         let attempt = self.next_attempt(id);
         for (index, name) in chosen.iter().enumerate() {
-            self.plan(id, index as u32, attempt, name);
+            self.plan(id, index as u32, attempt, name, &mut allowance);
         }
         size
     }
@@ -556,11 +566,12 @@
         }
         let missing: Vec<u32> = (0..spec.tasks).filter(|i| !job.on.contains_key(i)).collect();
         let (Some(attempt), 1) = (attempts.first().copied(), attempts.len()) else { return 0 };
-        let most = spec.need().times_in(self.team_room(spec)).min(missing.len() as u64);
+        let mut allowance = self.allowance(spec);
+        let most = spec.need().times_in(allowance.room()).min(missing.len() as u64);
         let names = self.choose(spec, most as usize, rooms, self.zone_counts(id), &Only::All);
         rooms.take(&names, spec.need());
         for (index, name) in missing.iter().zip(&names) {
-            self.plan(id, *index, attempt, name);
+            self.plan(id, *index, attempt, name, &mut allowance);
         }
         names.len()
     }
@@ -607,14 +618,18 @@
         })
     }
 
-    fn plan(&mut self, id: &str, index: u32, attempt: u64, name: &str) {
+    /// Plans a start, if its team's limit allows one more.
+    fn plan(&mut self, id: &str, index: u32, attempt: u64, name: &str, allowance: &mut Allowance) {
+        let need = self.need_of(id);
+        let Some(permit) = allowance.take(need) else { return };
         let task = TaskId::new(id, index);
+        self.log_planned(&task, name, allowance);
         let on = TaskOn {
             attempt,
             state: TaskState::Fetching,
             cause: None,
-            need: self.need_of(id),
-            pending: Some(Pending::Planned),
+            need,
+            pending: Some(Pending::Planned(permit)),
             announced: 0,
             stop: None,
             told: false,
@@ -702,124 +717,6 @@
         Cards { per_card, spare: free > 0 && free * SPARE_PART >= all }
     }
 
-    /// The teams whose limit could be exceeded at all, or is being shared out in this view.
-    ///
-    /// While all recorded machines together are within it, or all that the team has asked for is, nobody
-    /// need count. Machines are recorded everywhere before they are granted to anyone, and whoever starts
-    /// a job's tasks knows all jobs accepted before it, so no controller is late to notice.
-    pub(super) fn bound_teams(&self) -> BTreeSet<String> {
-        let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
-        if !self.limits_teams() {
-            return BTreeSet::new();
-        }
-        let all = self.machines.values().fold(Resources::default(), |sum, m| sum.plus(m.supply));
-        let unknown = self.blind() || self.machines.values().any(|m| m.supply == Resources::default());
-        let rows = if self.quota.0.view == self.view_stamp { &self.quota.0.rows[..] } else { &[] };
-        let mut asked: Option<BTreeMap<&str, Resources>> = None;
-        let mut bound = BTreeSet::new();
-        for team in &self.settings.params.teams {
-            let cpu = unknown || over(team.cpus_max, all.cpu);
-            let gpu = unknown || over(team.gpus_max, all.gpu);
-            let shared = rows.iter().any(|r| r.team == team.name);
-            let mut asks_more = || {
-                let asked = asked.get_or_insert_with(|| self.asked_by_teams());
-                let has = asked.get(team.name.as_str()).copied().unwrap_or_default();
-                cpu && over(team.cpus_max, has.cpu) || gpu && over(team.gpus_max, has.gpu)
-            };
-            if shared || (cpu || gpu) && asks_more() {
-                bound.insert(team.name.clone());
-            }
-        }
-        bound
-    }
-
-    /// Whether any team has a limit.
-    pub(super) fn limits_teams(&self) -> bool {
-        self.settings.params.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
-    }
-
-    /// The most that each team's tasks can take, wherever they are: those of all its live jobs, of jobs
-    /// that have lately left the records, and of jobs that had left them before this controller joined,
-    /// which may be on any machine whose tasks it has never known in full.
-    fn asked_by_teams(&self) -> BTreeMap<&str, Resources> {
-        let orphan = |(id, t): (&TaskId, &TaskOn)| {
-            !t.ended() && !self.jobs.contains_key(&id.job) && !self.retired.contains_key(&id.job)
-        };
-        let hides = |m: &&Machine| !m.unused() && (!m.known || m.tasks.iter().any(orphan));
-        let hidden = self.machines.values().filter(hides);
-        let hidden = hidden.fold(Resources::default(), |sum, m| sum.plus(m.supply));
-        let teams = self.settings.params.teams.iter();
-        let mut asked: BTreeMap<&str, Resources> = teams.map(|t| (t.name.as_str(), hidden)).collect();
-        let all = |j: &Job| j.spec.need().times(u64::from(j.spec.tasks));
-        let live = self.jobs.values().map(|j| (&j.spec.team, all(j)));
-        for (team, amount) in live.chain(self.removed.iter().map(|(_, team, amount)| (team, *amount))) {
-            if let Some(sum) = asked.get_mut(team.as_str()) {
-                *sum = sum.plus(amount);
-            }
-        }
-        asked
-    }
-
-    /// What the owner's jobs of a team may still take, by its allotment of the team's limit.
-    fn team_room(&self, spec: &JobSpec) -> Resources {
-        let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
-            return Resources::default();
-        };
-        let most = u64::MAX >> 1;
-        if !self.bound.contains(&team.name) {
-            return Resources { cpu: most, gpu: most, memory: most };
-        }
-        let node = self.lease.as_ref().map_or(0, |l| l.stamp);
-        let mine = |r: &&Allotment| r.team == spec.team && r.member == self.me() && r.node == node;
-        let valid = self.quota.0.view == self.view_stamp;
-        let row = self.quota.0.rows.iter().find(mine).filter(|_| valid);
-        let Some(row) = row else { return Resources::default() };
-        let (cpu, gpu) = self.team_usage(&spec.team);
-        let left = |limit: f64, allotted: u64, used: u64| {
-            if limit > 0.0 { allotted.saturating_sub(used) } else { most }
-        };
-        Resources {
-            cpu: left(team.cpus_max, row.cpu, cpu),
-            gpu: left(team.gpus_max, row.gpu, gpu),
-            memory: most,
-        }
-    }
-
-    /// What tasks of this controller's jobs of a team take, wherever they are or may be.
-    fn team_usage(&self, team: &str) -> (u64, u64) {
-        let mine = |j: &&Job| j.owner.as_deref() == Some(self.me()) && j.spec.team == team;
-        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), j.on.len() as u64));
-        let mine = |(id, j): &(&String, &Job)| {
-            j.spec.team == team && self.owner_of(id).as_deref() == Some(self.me())
-        };
-        let places = |j: &Job| j.on.values().map(|p| p.len() as u64).sum::<u64>();
-        let over = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), places(j)));
-        // Of a job that was over before this controller joined it knows neither team nor size. Its tasks may be
-        // any team's, and take all that the others leave of their machines: a controller that was back at once
-        // did not count eight processors of a withdrawn job that still ran, and started as many more.
-        let unknown = self.strangers.iter().filter(|(id, _)| self.owner_of(id).as_deref() == Some(self.me()));
-        let hosts: BTreeSet<&String> = unknown.flat_map(|(_, hosts)| hosts).collect();
-        let there =
-            |m: &&Machine| m.tasks.iter().any(|(id, t)| !t.ended() && self.strangers.contains_key(&id.job));
-        let hosts = hosts.into_iter().filter_map(|name| self.machines.get(name)).filter(there);
-        // As long as the types of machines are not known, nor is what is left of one: it may be all there is.
-        let all_there_is = Resources { cpu: 1 << 40, gpu: 1 << 40, memory: 0 };
-        let left = |m: &Machine| if m.supply == Resources::default() { all_there_is } else { m.free() };
-        let unknown = hosts.map(|m| (left(m), 1));
-        let all = live.chain(over).chain(unknown);
-        all.fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
-    }
-
-    pub(super) fn usage(&self) -> Vec<(String, u64, u64)> {
-        let limited = self.settings.params.teams.iter().filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
-        limited
-            .map(|t| {
-                let (cpu, gpu) = self.team_usage(&t.name);
-                (t.name.clone(), cpu, gpu)
-            })
-            .collect()
-    }
-
     /// The leader's volumes. A job it does not name is not admitted.
     pub(super) fn take_volumes(
         &mut self,
--- /dev/null
+++ b/src/coordination/quota/guard.rs
@@ -0,0 +1,211 @@
+//! What must hold of teams' limits, checked as it happens.
+//!
+//! A breach is a fault of this program. It is logged with all that the decision rested on and counted for the operators;
+//! nothing more of the team starts here until the rule holds again. In tests it panics.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::bookkeeping::records::QuotaRecord;
+use crate::coordination::Controller;
+use crate::protocol::units::Micros;
+
+/// How long the members may seem to use more than a limit together: their statuses are of different moments.
+const STATUSES_DIFFER: Micros = Micros::from_secs(3);
+
+/// A rule of teams' limits that has been broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Breach {
+    /// More was planned here than this controller's share has room for.
+    PlannedBeyondShare,
+    /// The shares in force add up to more than the limit.
+    SharesBeyondLimit,
+    /// All members together use more than the limit, and nothing explains it.
+    UsageBeyondLimit,
+}
+
+impl Breach {
+    /// Its name among the operators' counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Breach::PlannedBeyondShare => "planned_beyond_share",
+            Breach::SharesBeyondLimit => "shares_beyond_limit",
+            Breach::UsageBeyondLimit => "usage_beyond_limit",
+        }
+    }
+
+    /// All of them, for the counters.
+    pub fn all() -> [Breach; 3] {
+        [Breach::PlannedBeyondShare, Breach::SharesBeyondLimit, Breach::UsageBeyondLimit]
+    }
+}
+
+/// Why the members together may count more than runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CountedTwice {
+    /// A task counts wherever it may be until a machine that changed hands is known again.
+    MachinesUnresolved,
+    /// Tasks of jobs that were over before this controller joined count as all that their machines have left.
+    UnknownTasks,
+}
+
+/// The breaches so far, and the teams of which nothing more is started here.
+#[derive(Debug, Default)]
+pub(crate) struct Guard {
+    counts: BTreeMap<Breach, u64>,
+    halted: BTreeSet<String>,
+    /// Since when the members have seemed to use more than a team's limit.
+    exceeded: BTreeMap<String, Micros>,
+    /// Breaches are counted and halt the team, as in production, rather than panic.
+    #[cfg(test)]
+    pub tolerant: bool,
+}
+
+impl Guard {
+    /// Whether nothing more of a team may start here.
+    pub fn halts(&self, team: &str) -> bool {
+        self.halted.contains(team)
+    }
+
+    /// How often a rule has been broken.
+    pub fn count(&self, breach: Breach) -> u64 {
+        self.counts.get(&breach).copied().unwrap_or_default()
+    }
+}
+
+/// Whether an amount is more than a limit, in thousandths; 0 is none.
+fn beyond(limit: f64, amount: u64) -> bool {
+    limit > 0.0 && amount > (limit * 1e3) as u64
+}
+
+impl Controller {
+    /// How often a rule of limits has been broken here.
+    pub fn quota_breaches(&self, breach: Breach) -> u64 {
+        self.quota_guard.count(breach)
+    }
+
+    /// Of these teams something has been planned in this pass: what is used now is within this controller's shares.
+    pub(in crate::coordination) fn check_planned(&mut self, teams: &BTreeSet<String>) {
+        for team in teams.iter().filter(|t| self.bound.contains(*t)).cloned().collect::<Vec<_>>() {
+            if !self.within_share(&team) {
+                self.breached(Breach::PlannedBeyondShare, &team);
+            }
+        }
+    }
+
+    /// Whether this controller's jobs of a team use no more than its share, or the limit does not bind.
+    fn within_share(&self, team: &str) -> bool {
+        let Some((cpu, gpu)) = self.own_share(team) else { return true };
+        let (used_cpu, used_gpu) = self.team_usage(team);
+        let limits = self.settings.params.teams.iter().filter(|t| t.name == team);
+        limits
+            .clone()
+            .all(|t| (t.cpus_max <= 0.0 || used_cpu <= cpu) && (t.gpus_max <= 0.0 || used_gpu <= gpu))
+    }
+
+    /// The teams of which a record grants more than their limits.
+    fn granted_beyond(&self, record: &QuotaRecord) -> Vec<String> {
+        let sum = |team: &str| {
+            let rows = record.rows.iter().filter(|r| r.team == team);
+            rows.fold((0, 0), |(cpu, gpu), r| (cpu + r.cpu, gpu + r.gpu))
+        };
+        let teams = self.settings.params.teams.iter();
+        let more = teams.filter(|t| {
+            let (cpu, gpu) = sum(&t.name);
+            beyond(t.cpus_max, cpu) || beyond(t.gpus_max, gpu)
+        });
+        more.map(|t| t.name.clone()).collect()
+    }
+
+    /// A division is in force: it grants no more than the limits.
+    pub(in crate::coordination) fn check_shares(&mut self) {
+        for team in self.granted_beyond(&self.quota.0) {
+            self.breached(Breach::SharesBeyondLimit, &team);
+        }
+        if self.quota.0.view != self.view_stamp {
+            return;
+        }
+        for team in &self.settings.params.teams {
+            if let Some((cpu, gpu)) = self.own_share(&team.name) {
+                let view = self.view_stamp;
+                tracing::info!(team = team.name, view, stamp = self.quota.1, cpu, gpu, "share of a limit");
+            }
+        }
+    }
+
+    /// Why the members may seem to use more than they do.
+    fn counted_twice(&self) -> Option<CountedTwice> {
+        if self.machines.values().any(|m| !m.unused() && !m.resolved) {
+            Some(CountedTwice::MachinesUnresolved)
+        } else if !self.strangers.is_empty() {
+            Some(CountedTwice::UnknownTasks)
+        } else {
+            None
+        }
+    }
+
+    /// The leader compares what all members use of the limits that are divided with these limits.
+    pub(in crate::coordination) fn check_usage(&mut self) {
+        if !self.may_divide() || self.quota.0.view != self.view_stamp {
+            return self.quota_guard.exceeded.clear();
+        }
+        let now = self.now;
+        let unexplained = self.counted_twice().is_none();
+        let teams = self.settings.params.teams.iter().filter(|t| {
+            let (cpu, gpu) = self.usage_told(&t.name);
+            let divided = self.quota.0.rows.iter().any(|r| r.team == t.name);
+            divided && unexplained && (beyond(t.cpus_max, cpu) || beyond(t.gpus_max, gpu))
+        });
+        let teams: BTreeSet<String> = teams.map(|t| t.name.clone()).collect();
+        self.quota_guard.exceeded.retain(|team, _| teams.contains(team));
+        for team in teams {
+            let since = *self.quota_guard.exceeded.entry(team.clone()).or_insert(now);
+            if now.since(since) > STATUSES_DIFFER && !self.quota_guard.halts(&team) {
+                self.breached(Breach::UsageBeyondLimit, &team);
+            }
+        }
+    }
+
+    /// What all members say that their jobs of a team use.
+    fn usage_told(&self, team: &str) -> (u64, u64) {
+        let words = self.view.members.iter().filter_map(|(member, node)| self.word_of(member, *node));
+        let rows = words.flat_map(|status| &status.usage).filter(|row| row.0 == team);
+        rows.fold((0, 0), |(cpu, gpu), row| (cpu + row.1, gpu + row.2))
+    }
+
+    /// Starts of teams that were halted go on where the rules hold again.
+    pub(in crate::coordination) fn lift_halts(&mut self) {
+        if self.quota_guard.halted.is_empty() {
+            return;
+        }
+        let beyond = self.granted_beyond(&self.quota.0);
+        let mut halted = std::mem::take(&mut self.quota_guard.halted);
+        halted.retain(|team| {
+            beyond.contains(team) || self.quota_guard.exceeded.contains_key(team) || !self.within_share(team)
+        });
+        self.quota_guard.halted = halted;
+    }
+
+    /// Says and counts that a rule is broken, and starts nothing more of the team here.
+    fn breached(&mut self, breach: Breach, team: &str) {
+        let limits = self.settings.params.teams.iter().find(|t| t.name == team);
+        tracing::error!(
+            rule = breach.name(),
+            team,
+            limit = ?limits.map(|t| (t.cpus_max, t.gpus_max)),
+            granted = ?self.own_share(team),
+            used = ?self.team_usage(team),
+            used_by_all = ?self.usage_told(team),
+            leader = self.leader.as_ref().map_or("", |l| l.0.as_str()),
+            leader_stamp = self.leader.as_ref().map_or(0, |l| l.2),
+            view = self.view_stamp,
+            registration = self.life().1,
+            applied = self.applied,
+            knowledge_ms = self.knowledge_age().as_millis(),
+            "a rule of limits is broken: nothing more of the team starts here"
+        );
+        *self.quota_guard.counts.entry(breach).or_default() += 1;
+        self.quota_guard.halted.insert(team.to_owned());
+        #[cfg(test)]
+        assert!(self.quota_guard.tolerant, "{}: {team} at {}", breach.name(), self.me());
+    }
+}
--- /dev/null
+++ b/src/coordination/quota/usage.rs
@@ -0,0 +1,103 @@
+//! What teams use and have requested, and whether their limits bind.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::coordination::Controller;
+use crate::coordination::model::{Job, Machine, TaskOn};
+use crate::protocol::units::Resources;
+use crate::protocol::worker::TaskId;
+
+impl Controller {
+    /// The teams whose limit could be exceeded at all, or is being shared out in this view.
+    ///
+    /// While all recorded machines together are within it, or all that the team has asked for is, nobody
+    /// need count. Machines are recorded everywhere before they are granted to anyone, and whoever starts
+    /// a job's tasks knows all jobs accepted before it, so no controller is late to notice.
+    pub(in crate::coordination) fn bound_teams(&self) -> BTreeSet<String> {
+        let over = |limit: f64, has: u64| limit > 0.0 && has as f64 > limit * 1e3;
+        if !self.limits_teams() {
+            return BTreeSet::new();
+        }
+        let all = self.machines.values().fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        let unknown = self.blind() || self.machines.values().any(|m| m.supply == Resources::default());
+        let rows = if self.quota.0.view == self.view_stamp { &self.quota.0.rows[..] } else { &[] };
+        let mut requested: Option<BTreeMap<&str, Resources>> = None;
+        let mut bound = BTreeSet::new();
+        for team in &self.settings.params.teams {
+            let cpu = unknown || over(team.cpus_max, all.cpu);
+            let gpu = unknown || over(team.gpus_max, all.gpu);
+            let shared = rows.iter().any(|r| r.team == team.name);
+            let mut requests_more = || {
+                let requested = requested.get_or_insert_with(|| self.requested_by_teams());
+                let all = requested.get(team.name.as_str()).copied().unwrap_or_default();
+                cpu && over(team.cpus_max, all.cpu) || gpu && over(team.gpus_max, all.gpu)
+            };
+            if shared || (cpu || gpu) && requests_more() {
+                bound.insert(team.name.clone());
+            }
+        }
+        bound
+    }
+
+    /// Whether any team has a limit.
+    pub(in crate::coordination) fn limits_teams(&self) -> bool {
+        self.settings.params.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
+    /// The most that each team's tasks can take, wherever they are: those of all its live jobs, of jobs
+    /// that have lately left the records, and of jobs that had left them before this controller joined,
+    /// which may be on any machine whose tasks it has never known in full.
+    fn requested_by_teams(&self) -> BTreeMap<&str, Resources> {
+        let orphan = |(id, t): (&TaskId, &TaskOn)| {
+            !t.ended() && !self.jobs.contains_key(&id.job) && !self.retired.contains_key(&id.job)
+        };
+        let hides = |m: &&Machine| !m.unused() && (!m.known || m.tasks.iter().any(orphan));
+        let hidden = self.machines.values().filter(hides);
+        let hidden = hidden.fold(Resources::default(), |sum, m| sum.plus(m.supply));
+        let teams = self.settings.params.teams.iter();
+        let mut requested: BTreeMap<&str, Resources> = teams.map(|t| (t.name.as_str(), hidden)).collect();
+        let all = |j: &Job| j.spec.need().times(u64::from(j.spec.tasks));
+        let live = self.jobs.values().map(|j| (&j.spec.team, all(j)));
+        for (team, amount) in live.chain(self.removed.iter().map(|(_, team, amount)| (team, *amount))) {
+            if let Some(sum) = requested.get_mut(team.as_str()) {
+                *sum = sum.plus(amount);
+            }
+        }
+        requested
+    }
+
+    /// What tasks of this controller's jobs of a team take, wherever they are or may be.
+    pub(in crate::coordination) fn team_usage(&self, team: &str) -> (u64, u64) {
+        let mine = |j: &&Job| j.owner.as_deref() == Some(self.me()) && j.spec.team == team;
+        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), j.on.len() as u64));
+        let mine = |(id, j): &(&String, &Job)| {
+            j.spec.team == team && self.owner_of(id).as_deref() == Some(self.me())
+        };
+        let places = |j: &Job| j.on.values().map(|p| p.len() as u64).sum::<u64>();
+        let over = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), places(j)));
+        // Of a job that was over before this controller joined it knows neither team nor size. Its tasks may be
+        // any team's, and take all that the others leave of their machines: a controller that was back at once
+        // did not count eight processors of a withdrawn job that still ran, and started as many more.
+        let unknown = self.strangers.iter().filter(|(id, _)| self.owner_of(id).as_deref() == Some(self.me()));
+        let hosts: BTreeSet<&String> = unknown.flat_map(|(_, hosts)| hosts).collect();
+        let there =
+            |m: &&Machine| m.tasks.iter().any(|(id, t)| !t.ended() && self.strangers.contains_key(&id.job));
+        let hosts = hosts.into_iter().filter_map(|name| self.machines.get(name)).filter(there);
+        // As long as the types of machines are not known, nor is what is left of one: it may be all there is.
+        let all_there_is = Resources { cpu: 1 << 40, gpu: 1 << 40, memory: 0 };
+        let left = |m: &Machine| if m.supply == Resources::default() { all_there_is } else { m.free() };
+        let unknown = hosts.map(|m| (left(m), 1));
+        let all = live.chain(over).chain(unknown);
+        all.fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
+    }
+
+    pub(in crate::coordination) fn usage(&self) -> Vec<(String, u64, u64)> {
+        let limited = self.settings.params.teams.iter().filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        limited
+            .map(|t| {
+                let (cpu, gpu) = self.team_usage(&t.name);
+                (t.name.clone(), cpu, gpu)
+            })
+            .collect()
+    }
+}
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -4,7 +4,7 @@
 
 use crate::bookkeeping::blocks::Changes;
 use crate::bookkeeping::records::{self, LeaderRecord, TaskSet};
-use crate::coordination::model::{Job, Machine, Pending, TaskOn};
+use crate::coordination::model::{Job, Machine, TaskOn};
 use crate::coordination::{Controller, Phase, rules};
 use crate::protocol::job::JobSpec;
 use crate::protocol::store::{Change, Entry, Json, StoreReply};
@@ -241,6 +241,7 @@
             && let Ok(quota) = value.read()
         {
             self.quota = (quota, stamp);
+            self.check_shares();
         }
     }
 
@@ -371,7 +372,7 @@
     pub(super) fn drop_planned(&mut self, name: &str, which: impl Fn(&TaskId) -> bool) {
         let Some(machine) = self.machines.get(name) else { return };
         let mut tasks = machine.tasks.clone();
-        tasks.retain(|id, t| t.pending != Some(Pending::Planned) || !which(id));
+        tasks.retain(|id, t| !t.planned() || !which(id));
         if tasks.len() < machine.tasks.len() {
             self.set_tasks(name, tasks);
         }
@@ -417,6 +418,7 @@
         }
         let member = self.in_view();
         let was_member = std::mem::replace(&mut self.placing, member);
+        self.renew_permits();
         if was_member != member {
             self.ledger.member_since(self.placing.then_some(self.view_stamp));
         }
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -27,6 +27,7 @@
 mod outages;
 mod overload;
 mod pairs;
+mod quota_guard;
 mod returns;
 mod rules;
 mod services;
--- a/src/coordination/simulation/meetings_limits.rs
+++ b/src/coordination/simulation/meetings_limits.rs
@@ -68,7 +68,7 @@
 }
 
 /// A job's tasks below this number end within the next half second.
-fn end_some(world: &mut World, id: &str, below: u32) {
+pub(super) fn end_some(world: &mut World, id: &str, below: u32) {
     let now = world.now;
     for w in world.workers.values_mut() {
         let some = w.tasks.iter_mut().filter(|(t, _)| t.job == id && t.index < below);
--- /dev/null
+++ b/src/coordination/simulation/quota_guard.rs
@@ -0,0 +1,149 @@
+//! What is checked of teams' limits at run time, and permits that hold no more.
+
+use super::meetings_limits::{end_some, finish, go, of_team, owned_by, roomy, there, until};
+use super::*;
+use crate::bookkeeping::records::QuotaRecord;
+use crate::coordination::Breach;
+use crate::coordination::model::Pending;
+
+/// A cluster in which the blue team's limit of 40 processors is divided, and the job that uses some of it.
+fn divided(seed: u64) -> World {
+    let mut world = roomy(seed, &[("blue", 40.0, 0.0), ("green", 0.0, 0.0)]);
+    let mut numbers = owned_by(1);
+    of_team(&mut world, numbers.next().unwrap(), "blue", 10);
+    of_team(&mut world, numbers.next().unwrap(), "blue", 80);
+    let shared = |w: &World| w.controllers.iter().flatten().all(|c| c.quota.0.view == c.view_stamp);
+    assert!(until(&mut world, Micros::from_secs(20), shared), "seed {seed}: nothing is divided");
+    go(&mut world, Micros::from_secs(10));
+    world
+}
+
+/// Writes a division that grants every member as much.
+fn grant_each(world: &mut World, cpu: u64) {
+    let mut record = division(world);
+    record.rows.iter_mut().for_each(|row| row.cpu = cpu);
+    write_division(world, record);
+}
+
+/// The division in the records.
+fn division(world: &World) -> QuotaRecord {
+    serde_json::from_value(world.store.keys[records::QUOTA].0.clone()).unwrap()
+}
+
+fn write_division(world: &mut World, record: QuotaRecord) {
+    let stamp = world.store.keys[records::QUOTA].1;
+    let written = world.store.commit(Transaction {
+        conditions: vec![crate::protocol::store::Condition::new(records::QUOTA, stamp)],
+        writes: vec![Write::put(records::QUOTA, serde_json::to_value(record).unwrap())],
+    });
+    assert!(matches!(written, StoreReply::Committed { .. }));
+}
+
+/// Guards the check itself: shares that add up to more than a limit are seen by whoever reads their record.
+#[test]
+#[should_panic(expected = "shares_beyond_limit: blue")]
+fn shares_that_add_up_to_more_than_the_limit_are_noticed() {
+    let mut world = divided(500);
+    grant_each(&mut world, 14_000);
+    go(&mut world, Micros::from_secs(2));
+}
+
+/// Guards the check itself: a share that shrinks below what has just been planned under it is no breach, but planning
+/// beyond it is.
+#[test]
+#[should_panic(expected = "planned_beyond_share: blue")]
+fn more_planned_than_the_share_is_noticed() {
+    let mut world = divided(501);
+    let controller = world.controllers[1].as_mut().unwrap();
+    controller.bound = controller.bound_teams();
+    controller.check_planned(&["blue".to_owned()].into());
+    controller.quota.0.rows.iter_mut().for_each(|row| row.cpu = 1_000);
+    controller.check_planned(&["blue".to_owned()].into());
+}
+
+/// Guards the check itself: all members together use more than the limit for longer than statuses differ.
+#[test]
+#[should_panic(expected = "usage_beyond_limit: blue")]
+fn members_that_use_more_than_the_limit_together_are_noticed() {
+    let mut world = divided(502);
+    let leader = world.leader().unwrap();
+    for _ in 0..100 {
+        let controller = world.controllers[leader].as_mut().unwrap();
+        for status in controller.peers.values_mut().filter_map(|p| p.status.as_mut()) {
+            status.usage.iter_mut().for_each(|row| row.1 = 30_000);
+        }
+        controller.check_usage();
+        go(&mut world, Micros::from_millis(100));
+    }
+}
+
+/// What the leader writes of divisions comes late.
+fn late_divisions(t: &Transaction) -> Option<Fate> {
+    let written = t.writes.iter().any(|w| matches!(w, Write::Put { key, .. } if key == records::QUOTA));
+    written.then_some(Fate::Late(Micros::from_secs(60)))
+}
+
+/// Guards production: after a breach nothing more of the team starts, of others all does, and once the rule holds again the
+/// team's starts go on.
+#[test]
+fn a_breach_halts_the_team_until_the_rule_holds_again() {
+    let mut world = divided(503);
+    world.controllers.iter_mut().flatten().for_each(|c| c.quota_guard.tolerant = true);
+    // The leader would mend the record at once.
+    let leader = world.leader().unwrap();
+    world.fate_of = Some(late_divisions);
+    let sound = division(&world);
+    grant_each(&mut world, 30_000);
+    go(&mut world, Micros::from_millis(1_500));
+    let others = (0..3).filter(|n| *n != leader).collect::<Vec<_>>();
+    let halted = |w: &World, n: usize| w.controllers[n].as_ref().unwrap().quota_guard.halts("blue");
+    assert!(others.iter().all(|n| halted(&world, *n)), "the team is not halted");
+    let counted =
+        |n: &usize| world.controllers[*n].as_ref().unwrap().quota_breaches(Breach::SharesBeyondLimit);
+    assert!(others.iter().map(counted).all(|n| n >= 1), "the breach is not counted");
+    let blue = of_team(&mut world, owned_by(others[0]).next().unwrap() + 10_000, "blue", 2);
+    let green = of_team(&mut world, owned_by(others[0]).nth(5).unwrap(), "green", 2);
+    go(&mut world, Micros::from_secs(5));
+    assert_eq!(there(&world, &blue), 0, "a task of the halted team has begun");
+    assert_eq!(there(&world, &green), 2, "another team's tasks do not start");
+    write_division(&mut world, sound);
+    let lifted = |w: &World| (0..3).all(|n| !halted(w, n));
+    assert!(until(&mut world, Micros::from_secs(10), lifted), "the team is halted though the rule holds");
+}
+
+/// Guards a limit against starts that were planned within a share of a former view: they wait to be sent while the view
+/// changes, and their share is void.
+#[test]
+fn what_was_planned_under_a_former_views_share_is_not_sent() {
+    let mut planned = 0;
+    for seed in 510..516 {
+        let mut world = divided(seed);
+        let (waits, leader) = (1, world.leader().unwrap());
+        assert_ne!(waits, leader, "seed {seed}");
+        let back = 2 - leader;
+        world.passed_over = Some(waits);
+        // The other members do not hear of its starts, nor can it record that it goes on without them.
+        world.befalls(Spell::Apart(waits, back), world.now + Micros::from_secs(14));
+        let waiting = |w: &World| -> Vec<(TaskId, Pending)> {
+            let machines = w.controllers[waits].as_ref().unwrap().machines.values();
+            let tasks = machines.flat_map(|m| &m.tasks).filter(|(_, t)| t.planned());
+            tasks.map(|(id, t)| (id.clone(), t.pending.unwrap())).collect()
+        };
+        // Places become free in its share, and more of its job is planned.
+        for id in world.jobs.keys().cloned().collect::<Vec<_>>() {
+            end_some(&mut world, &id, 30);
+        }
+        until(&mut world, Micros::from_secs(10), |w| !waiting(w).is_empty());
+        world.befalls(Spell::StoreRefuses(waits), world.now + Micros::from_millis(2_500));
+        let before = waiting(&world);
+        let view = world.controllers[waits].as_ref().unwrap().view_stamp;
+        world.crash_for(back, Micros::from_millis(200));
+        let next = |w: &World| w.controllers[waits].as_ref().unwrap().view_stamp > view;
+        assert!(until(&mut world, Micros::from_secs(15), next), "seed {seed}: no new view");
+        planned += before.len();
+        let after = waiting(&world);
+        assert!(before.iter().all(|start| !after.contains(start)), "seed {seed}: a start outlived its share");
+        finish(&mut world, seed);
+    }
+    assert!(planned > 0, "nothing was planned when the view changed");
+}
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -9,7 +9,7 @@
 
 use marblewalk_recovery::Hearing;
 
-use crate::coordination::model::{Machine, Pending, TaskOn};
+use crate::coordination::model::{Machine, TaskOn};
 use crate::coordination::{Controller, Effect, Peer, Phase};
 use crate::protocol::peer::{MachineStatus, PeerMessage, Status, Tally, TaskStatus};
 use crate::protocol::units::Micros;
@@ -108,7 +108,7 @@
         let mut any = false;
         for machine in self.machines.values_mut().filter(|m| m.row.node == node && m.row.owner == me) {
             for t in machine.tasks.values_mut() {
-                if t.pending == Some(Pending::Planned) && t.announced == 0 {
+                if t.planned() && t.announced == 0 {
                     t.announced = self.status_sequence;
                     any = true;
                 }
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -13,7 +13,7 @@
 use super::server::{self, Shared};
 use super::workers;
 use crate::bookkeeping::client as store;
-use crate::coordination::{Answer, Controller, Effect, Event, RequestId};
+use crate::coordination::{Answer, Breach, Controller, Effect, Event, RequestId};
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::units::Micros;
 use crate::settings::{Settings, Tuning};
@@ -178,6 +178,10 @@
             text += &format!("marblewalk_submissions_{what}_total{{{labels}}} {n}\n");
         }
     }
+    for breach in Breach::all() {
+        let count = c.quota_breaches(breach);
+        text += &format!("marblewalk_quota_breaches_total{{rule=\"{}\"}} {count}\n", breach.name());
+    }
     for (share, oldest) in c.pool_shares() {
         let labels = format!(
             "team=\"{}\",class=\"{}\",rank=\"{}\"",
