A soak of real controllers over loopback, judged from outside

Three controllers of the built program, with stand-ins for the state service (limits aside: watches, conditions, leases, lost and late transactions), cloud, workers and users that speak the published formats, a proxy for each link between controllers, and faults drawn from a seed: kills and quick returns, a series of leaders, paused processes, refusals of the store, links held or reset in one direction, machines that hang, are cut off, deaf, mute or gone, late commands and copies of reports, cancellations of running work.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -254,7 +254,7 @@
             reserved,
         };
         let mut planned = 0;
-        let mut teams = BTreeSet::new();
+        let mut planned_of: BTreeMap<String, Resources> = BTreeMap::new();
         let mut held_back: Option<u8> = None;
         for (Precedence(rank, ..), fetched, id) in order {
             if planned >= MOST_STARTS {
@@ -277,7 +277,8 @@
             if started > 0
                 && let Some(job) = self.jobs.get(&id)
             {
-                teams.insert(job.spec.team.clone());
+                let sum = planned_of.entry(job.spec.team.clone()).or_default();
+                *sum = sum.plus(job.spec.need());
             }
             if fetched {
                 continue;
@@ -287,7 +288,7 @@
                 held_back = Some(rank);
             }
         }
-        self.check_planned(&teams);
+        self.check_planned(&planned_of);
         if planned > 0 {
             // They are ordered when the others have taken them in.
             self.status_due = Some(self.now);
--- a/src/coordination/quota/guard.rs
+++ b/src/coordination/quota/guard.rs
@@ -7,7 +7,7 @@
 
 use crate::bookkeeping::records::QuotaRecord;
 use crate::coordination::Controller;
-use crate::protocol::units::Micros;
+use crate::protocol::units::{Micros, Resources};
 
 /// How long the members may seem to use more than a limit together: their statuses are of different moments.
 const STATUSES_DIFFER: Micros = Micros::from_secs(3);
@@ -83,23 +83,23 @@
         self.quota_guard.count(breach)
     }
 
-    /// Of these teams something has been planned in this pass: what is used now is within this controller's shares.
-    pub(in crate::coordination) fn check_planned(&mut self, teams: &BTreeSet<String>) {
-        for team in teams.iter().filter(|t| self.bound.contains(*t)).cloned().collect::<Vec<_>>() {
-            if !self.within_share(&team) {
-                self.breached(Breach::PlannedBeyondShare, &team);
-            }
+    /// What has been planned of each team in this pass: of that, what is used now is within this controller's shares.
+    /// What was not planned may be beyond them, while it counts in several places.
+    pub(in crate::coordination) fn check_planned(&mut self, planned: &BTreeMap<String, Resources>) {
+        let bound = planned.iter().filter(|(team, _)| self.bound.contains(*team));
+        let beyond = bound.filter(|(team, amount)| !self.within_share(team, **amount));
+        for team in beyond.map(|(team, _)| team.clone()).collect::<Vec<_>>() {
+            self.breached(Breach::PlannedBeyondShare, &team);
         }
     }
 
-    /// Whether this controller's jobs of a team use no more than its share, or the limit does not bind.
-    fn within_share(&self, team: &str) -> bool {
-        let Some((cpu, gpu)) = self.own_share(team) else { return true };
+    /// Whether this controller's jobs of a team use no more than its share, of what the amount has any of.
+    fn within_share(&self, team: &str, of: Resources) -> bool {
+        let Some(limits) = self.settings.params.teams.iter().find(|t| t.name == team) else { return false };
+        let (cpu, gpu) = self.own_share(team).unwrap_or_default();
         let (used_cpu, used_gpu) = self.team_usage(team);
-        let limits = self.settings.params.teams.iter().filter(|t| t.name == team);
-        limits
-            .clone()
-            .all(|t| (t.cpus_max <= 0.0 || used_cpu <= cpu) && (t.gpus_max <= 0.0 || used_gpu <= gpu))
+        let within = |of: u64, limit: f64, used: u64, share: u64| of == 0 || limit <= 0.0 || used <= share;
+        within(of.cpu, limits.cpus_max, used_cpu, cpu) && within(of.gpu, limits.gpus_max, used_gpu, gpu)
     }
 
     /// The teams of which a record grants more than their limits.
@@ -179,8 +179,10 @@
         }
         let beyond = self.granted_beyond(&self.quota.0);
         let mut halted = std::mem::take(&mut self.quota_guard.halted);
+        let any = Resources { cpu: 1, gpu: 1, memory: 0 };
+        let within = |team: &String| self.own_share(team).is_none() || self.within_share(team, any);
         halted.retain(|team| {
-            beyond.contains(team) || self.quota_guard.exceeded.contains_key(team) || !self.within_share(team)
+            beyond.contains(team) || self.quota_guard.exceeded.contains_key(team) || !within(team)
         });
         self.quota_guard.halted = halted;
     }
--- /dev/null
+++ b/tests/soak/rig.rs
@@ -0,0 +1,126 @@
+//! What all parts of a run share: its clock, the stand-ins' state, the faults that hold, and the history.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use crate::fleet::Fleet;
+use crate::history::{History, Ms};
+use crate::schedule::{Cut, Fault};
+use crate::store::Store;
+
+/// Where a controller is reached.
+#[derive(Clone, Debug)]
+pub struct Address {
+    pub api: String,
+    pub internal: String,
+}
+
+/// The faults that hold at this moment.
+#[derive(Default)]
+pub struct Faults {
+    next: u64,
+    active: Vec<(u64, Fault)>,
+}
+
+impl Faults {
+    /// A fault begins; its number.
+    pub fn begin(&mut self, fault: Fault) -> u64 {
+        self.next += 1;
+        self.active.push((self.next, fault));
+        self.next
+    }
+
+    pub fn end(&mut self, number: u64) {
+        self.active.retain(|(n, _)| *n != number);
+    }
+
+    fn any(&self, which: impl Fn(&Fault) -> bool) -> bool {
+        self.active.iter().any(|(_, fault)| which(fault))
+    }
+
+    /// Whether the state service refuses a controller.
+    pub fn store_refuses(&self, node: usize) -> bool {
+        self.any(|f| matches!(f, Fault::StoreRefuses { node: n } if n.is_none_or(|n| n == node)))
+    }
+
+    /// Whether some of a controller's calls to the state service get no answer.
+    pub fn store_loses(&self, node: usize) -> bool {
+        self.any(|f| matches!(f, Fault::StoreLoses { node: n } if *n == node))
+    }
+
+    /// Whether workers' reports do not reach a controller.
+    pub fn workers_cut(&self, node: usize) -> bool {
+        self.any(|f| matches!(f, Fault::Workers { node: n } if *n == node))
+    }
+
+    pub fn late_commands(&self) -> bool {
+        self.any(|f| *f == Fault::LateCommands)
+    }
+
+    pub fn late_reports(&self) -> bool {
+        self.any(|f| *f == Fault::LateReports)
+    }
+
+    /// How what one controller sends to another is cut, if it is. A reset comes before what only waits.
+    pub fn link(&self, from: usize, to: usize) -> Option<Cut> {
+        let cuts = self.active.iter().filter_map(|(_, fault)| match fault {
+            Fault::Peers { from: f, to: t, how } if (*f, *t) == (from, to) => Some(*how),
+            Fault::Alone { node, how } if [from, to].contains(node) => Some(*how),
+            _ => None,
+        });
+        cuts.max_by_key(|cut| *cut == Cut::Reset)
+    }
+}
+
+/// One run.
+pub struct Rig {
+    start: Instant,
+    pub seed: u64,
+    pub nodes: Vec<Address>,
+    pub history: Mutex<History>,
+    pub store: Mutex<Store>,
+    /// The store has changed.
+    pub changed: Notify,
+    pub fleet: Mutex<Fleet>,
+    pub faults: Mutex<Faults>,
+    /// By how much the rig itself was late at worst.
+    late: AtomicU64,
+}
+
+impl Rig {
+    pub fn new(seed: u64, nodes: Vec<Address>, history: History, fleet: Fleet) -> Rig {
+        Rig {
+            start: Instant::now(),
+            seed,
+            nodes,
+            history: Mutex::new(history),
+            store: Mutex::default(),
+            changed: Notify::new(),
+            fleet: Mutex::new(fleet),
+            faults: Mutex::default(),
+            late: AtomicU64::new(0),
+        }
+    }
+
+    /// The rig's steady clock.
+    pub fn now(&self) -> Ms {
+        self.start.elapsed().as_millis() as Ms
+    }
+
+    pub async fn until(&self, at: Ms) {
+        let left = at.saturating_sub(self.now());
+        tokio::time::sleep(Duration::from_millis(left)).await;
+    }
+
+    /// Notes how late the rig was with something due at this moment.
+    pub fn note_late(&self, due: Ms) {
+        self.late.fetch_max(self.now().saturating_sub(due), Ordering::Relaxed);
+    }
+
+    pub fn latest(&self) -> Ms {
+        self.late.load(Ordering::Relaxed)
+    }
+}
