--- a/tests/soak_judge.rs
+++ b/tests/soak_judge.rs
@@ -17,6 +17,7 @@
         spread: false,
         spot: true,
         service: false,
+        gang: false,
     }
 }
 
@@ -179,6 +180,13 @@
         h.stays.push(stay("j-3", 1, "m-3", 1_700, 27_000));
     };
     assert_eq!(broken(at_its_limit), Vec::<&str>::new());
+    let gang_beside_a_task = |h: &mut History| {
+        waits(h);
+        h.jobs.get_mut("j-1").unwrap().gang = true;
+        h.jobs.insert("j-3".into(), JobFacts { service: true, ..facts("blue", 2) });
+        h.stays.push(stay("j-3", 0, "m-3", 1_700, 27_000));
+    };
+    assert_eq!(broken(gang_beside_a_task), Vec::<&str>::new());
     let works = |h: &mut History| {
         waits(h);
         h.stays.push(stay("j-1", 0, "m-1", 20_000, 20_500));
