The check of all usage knows where members count what only may be somewhere

Each status now says whether its usage counts anything for what only may be there; the leader compares only when all are exact.

--- a/src/coordination/quota/guard.rs
+++ b/src/coordination/quota/guard.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Why the members together may count more than runs.
+/// Why a controller may count more than runs: it says so with its usage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CountedTwice {
     /// A task counts wherever it may be until a machine that changed hands is known again.
@@ -132,7 +132,12 @@
         }
     }
 
-    /// Why the members may seem to use more than they do.
+    /// Whether this controller counts nothing for what only may be somewhere.
+    pub(in crate::coordination) fn usage_is_exact(&self) -> bool {
+        self.counted_twice().is_none()
+    }
+
+    /// Why this controller may count more than runs.
     fn counted_twice(&self) -> Option<CountedTwice> {
         if self.machines.values().any(|m| !m.unused() && !m.resolved) {
             Some(CountedTwice::MachinesUnresolved)
@@ -149,7 +154,9 @@
             return self.quota_guard.exceeded.clear();
         }
         let now = self.now;
-        let unexplained = self.counted_twice().is_none();
+        let exact =
+            |(member, node): &(String, u64)| self.word_of(member, *node).is_some_and(|s| s.usage_exact);
+        let unexplained = self.usage_is_exact() && self.view.members.iter().all(exact);
         let teams = self.settings.params.teams.iter().filter(|t| {
             let (cpu, gpu) = self.usage_told(&t.name);
             let divided = self.quota.0.rows.iter().any(|r| r.team == t.name);
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -184,6 +184,7 @@
             store_ok: self.now.since(self.store_heard) < Micros::from_secs(2),
             adopted: !self.taking_over && self.in_view(),
             usage: self.usage(),
+            usage_exact: self.usage_is_exact(),
             machines: Vec::new(),
             tallies: Vec::new(),
             stops: self.foreign_stops(),
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -90,6 +90,8 @@
     pub adopted: bool,
     /// Per limited team: processors and accelerators in use by the sender's jobs.
     pub usage: Vec<(String, u64, u64)>,
+    /// That is what runs or may yet be started, and nothing is counted for what only may be somewhere.
+    pub usage_exact: bool,
     pub machines: Vec<MachineStatus>,
     pub tallies: Vec<Tally>,
     pub stops: Vec<StopRequest>,
