Soak: one list of undecided jobs serves the judge and the run's end

Whether accepted jobs are over stood three times: in the judge's two rules of what is left over, and where a run looks whether it may end, which copied the whole history five times a second to do so. Now one function says which jobs are undecided.

--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -317,15 +317,19 @@
         broken
     }
 
-    /// Jobs that are accepted, not over and not cancelled, and are no services.
-    fn open_jobs(&self) -> Vec<(&String, &JobFacts)> {
-        let known = |t: Told| !matches!(t, Told::Unknown | Told::Refused);
-        let open = |job: &String| {
-            let mut answers = self.answers.iter().filter(|a| a.job == *job).peekable();
-            let accepted = self.answers.iter().any(|a| a.job == *job && known(a.told));
-            accepted && answers.all(|a| !matches!(a.told, Told::Done | Told::Withdrawn))
+    /// Jobs whose users were told that they are accepted, and not yet that they are over.
+    pub fn undecided(&self) -> BTreeSet<&String> {
+        let told = |which: fn(Told) -> bool| -> BTreeSet<&String> {
+            self.answers.iter().filter(|a| which(a.told)).map(|a| &a.job).collect()
         };
-        let jobs = self.jobs.iter().filter(|(job, f)| open(job) && !f.service);
+        let over = told(|t| matches!(t, Told::Done | Told::Withdrawn));
+        told(|t| t == Told::Live).difference(&over).copied().collect()
+    }
+
+    /// Of these, the jobs that nobody has asked to cancel and that are no services.
+    fn open_jobs(&self) -> Vec<(&String, &JobFacts)> {
+        let undecided = self.undecided();
+        let jobs = self.jobs.iter().filter(|(job, f)| undecided.contains(job) && !f.service);
         jobs.filter(|(job, _)| !self.cancels.contains_key(*job)).collect()
     }
 
@@ -348,13 +352,9 @@
     /// Once it is calm each accepted job is answered for, and none waits while its team has room for it.
     fn left_over(&self) -> Vec<Broken> {
         let mut broken = Vec::new();
-        for (job, _) in self.jobs.iter() {
-            let answers = || self.answers.iter().filter(|a| a.job == *job);
-            let known = || answers().filter(|a| matches!(a.told, Told::Live | Told::Done | Told::Withdrawn));
-            if known().next().is_none() || known().any(|a| matches!(a.told, Told::Done | Told::Withdrawn)) {
-                continue;
-            }
-            let heard = answers().map(|a| a.at).max().unwrap_or_default().max(self.calm_from);
+        for job in self.undecided().into_iter().filter(|job| self.jobs.contains_key(*job)) {
+            let answers = self.answers.iter().filter(|a| a.job == *job);
+            let heard = answers.map(|a| a.at).max().unwrap_or_default().max(self.calm_from);
             if self.over_at.saturating_sub(heard) > FORGOTTEN {
                 broken.push(Self::broken(
                     "forgotten",
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -165,7 +165,7 @@
     rig.history.lock().unwrap().calm_from = rig.now();
     // What is left has time enough, so that a job that is not done was not let.
     rig.fleet.lock().unwrap().hurry(rig.now(), CALM_RUN_MS);
-    while rig.now() < OVER && !all_over(&rig) {
+    while rig.now() < OVER && !rig.history.lock().unwrap().undecided().is_empty() {
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
     parts.shutdown().await;
@@ -177,21 +177,6 @@
     Ok(Outcome { seed, broken, figures, leaders, late_ms: rig.latest(), schedule, logs: folder })
 }
 
-/// Whether every accepted job is over that is to be.
-fn all_over(rig: &Rig) -> bool {
-    let history = rig.history.lock().unwrap();
-    let mut open = history.clone();
-    open.over_at = rig.now();
-    drop(history);
-    let finals: std::collections::BTreeSet<&String> = open
-        .answers
-        .iter()
-        .filter(|a| matches!(a.told, crate::history::Told::Done | crate::history::Told::Withdrawn))
-        .map(|a| &a.job)
-        .collect();
-    open.answers.iter().filter(|a| a.told == crate::history::Told::Live).all(|a| finals.contains(&a.job))
-}
-
 /// Lets time pass for the workers and the controllers' processes.
 async fn keep(rig: Arc<Rig>, processes: Arc<Processes>) {
     let mut due = rig.now();
