--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,99 @@
+//! The list of known faults: what `.ci/known-red` reads from it and what it refuses.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+/// Runs `.ci/known-red` on a list with this text.
+fn read(mode: &str, name: &str, text: &str) -> Output {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = folder.join(name);
+    std::fs::write(&file, text).unwrap();
+    run(mode, &file)
+}
+
+fn run(mode: &str, file: &Path) -> Output {
+    let script = Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/known-red");
+    Command::new("bash").arg(script).arg(mode).arg(file).output().unwrap()
+}
+
+fn printed(output: &Output) -> String {
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+/// The message that a list is refused with.
+fn refused(name: &str, text: &str) -> String {
+    let output = read("entries", name, text);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(message.lines().count(), 1, "{message}");
+    message.rsplit_once(&format!("{name}:")).unwrap().1.trim().to_owned()
+}
+
+const SOUND: &str = "\
+# Faults that stand.
+
+test: a::module::test_name
+seed: 1, 2
+seen: a job waits
+  and waits
+issue: 52
+
+run: cargo test --test soak -- --from 40
+seed: 40
+seen: two jobs wait
+issue: 7
+";
+
+#[test]
+fn entries_are_read_with_their_fields() {
+    let entries = printed(&read("entries", "sound.txt", SOUND));
+    let expected = "test\ta::module::test_name\t1, 2\ta job waits and waits\t52\n\
+                    run\tcargo test --test soak -- --from 40\t40\ttwo jobs wait\t7\n";
+    assert_eq!(entries, expected);
+    assert_eq!(printed(&read("tests", "sound.txt", SOUND)), "a::module::test_name\n");
+}
+
+#[test]
+fn an_empty_or_missing_list_has_no_entries() {
+    assert_eq!(printed(&read("entries", "empty.txt", "# none\n\n")), "");
+    assert_eq!(printed(&run("tests", Path::new("no-such-list.txt"))), "");
+}
+
+#[test]
+fn the_last_entry_needs_no_line_end() {
+    let text = SOUND.trim_end();
+    assert_eq!(printed(&read("entries", "no-line-end.txt", text)).lines().count(), 2);
+}
+
+#[test]
+fn malformed_lists_are_refused_with_the_line() {
+    let entry = "seed: 1\nseen: x\nissue: 52\n";
+    let cases = [
+        ("a::test: the former form\n".to_owned(), "1: neither test, run, seed, seen nor issue"),
+        (format!("# c\n\n{entry}"), "3: the entry has neither test nor run"),
+        (format!("test: a\nrun: b\n{entry}"), "1: an entry has either test or run, not both"),
+        (format!("test: a\n{entry}seed: 2\n"), "5: the entry has two fields seed"),
+        ("test: a\nseen: x\nissue: 52\n".to_owned(), "1: the entry has no seed"),
+        ("test: a\nseed: 1\nissue: 52\n".to_owned(), "1: the entry has no seen"),
+        ("test: a\nseed: 1\nseen: x\n".to_owned(), "1: the entry has no issue"),
+        ("test: a\nseed: 1\nseen: x\nissue: soon\n".to_owned(), "1: issue is a number, not \"soon\""),
+        (format!("test: a b\n{entry}"), "1: test is the full path of a test, not \"a b\""),
+        ("test:\n".to_owned(), "1: test has no text"),
+        (
+            "  a line that goes on with nothing\n".to_owned(),
+            "1: there is no field that this line could go on with",
+        ),
+        ("what is this\n".to_owned(), "1: neither test, run, seed, seen nor issue"),
+    ];
+    for (n, (text, expected)) in cases.iter().enumerate() {
+        let message = refused(&format!("bad-{n}.txt"), text);
+        assert!(message.starts_with(expected), "{text}: {message}");
+    }
+}
+
+/// The list of this repository is well-formed.
+#[test]
+fn the_list_of_this_repository_is_read() {
+    printed(&run("entries", &Path::new(env!("CARGO_MANIFEST_DIR")).join("KNOWN-RED.txt")));
+}
