Each waiting job says why it has nothing running

One reason for each waiting job, noted where placement passes it over and put together once a second: counted by reason on /desk (marblewalk_jobs_waiting), logged at info once it has been the same for 30 s, and in the message of a neglected job.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,6 +20,7 @@
 mod rules;
 mod takeover;
 pub mod volumes;
+mod waiting;
 mod words;
 
 #[cfg(test)]
@@ -49,6 +50,7 @@
 
 pub use model::{Job, Machine};
 pub use quota::Breach;
+pub use waiting::WaitReason;
 
 /// Steady clocks of two machines may drift apart by 0.05%; this leaves a margin.
 pub(crate) const DRIFT: f64 = 0.001;
@@ -393,6 +395,7 @@
     pub(crate) lead: Option<leader::Leading>,
     pub(crate) lead_at: Micros,
     pub(crate) volumes_heard: Micros,
+    pub(crate) waits: waiting::Waits,
     pub(crate) status_due: Option<Micros>,
     pub(crate) status_sent: Micros,
     pub(crate) announced_at: Micros,
@@ -495,6 +498,7 @@
             lead: None,
             lead_at: Micros::ZERO,
             volumes_heard: Micros::ZERO,
+            waits: waiting::Waits::default(),
             status_due: None,
             status_sent: Micros::ZERO,
             announced_at: Micros::ZERO,
@@ -584,6 +588,7 @@
         self.machines_tick();
         self.lift_halts();
         self.record_uninformed();
+        self.note_waits();
         self.leader_tick();
         self.place_due = true;
         self.flush_progress();
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -9,6 +9,7 @@
 
 use crate::bookkeeping::records::{BlockRow, TaskSet};
 use crate::coordination::quota::{InForce, Permit};
+use crate::coordination::waiting::Wait;
 use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::units::{Micros, Resources};
 use crate::protocol::worker::{Cause, TaskId, TaskState};
@@ -47,6 +48,7 @@
     pub attempt: u64,
     /// The whole gang is being stopped: since when.
     pub stopping: Option<Micros>,
+    pub wait: Wait,
 }
 
 impl Job {
@@ -71,6 +73,7 @@
             next: 0,
             attempt: 0,
             stopping: None,
+            wait: Wait::default(),
         }
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -9,6 +9,7 @@
 use crate::coordination::finals::Source;
 use crate::coordination::model::{Job, Machine, Pending, TaskOn};
 use crate::coordination::quota::Allowance;
+use crate::coordination::waiting::WaitReason;
 use crate::coordination::{ByName, Controller, Purpose, rules};
 use crate::protocol::job::{Final, JobSpec, Shape};
 use crate::protocol::peer::Volume;
@@ -156,7 +157,7 @@
     }
 
     /// How many tasks of a job the owner may have started.
-    fn wanted(&self, job: &Job) -> u32 {
+    pub(super) fn wanted(&self, job: &Job) -> u32 {
         // Without a leader's word for a while, work goes on inside the blocks that are held.
         let unheard =
             self.leader_silent() && self.now.since(job.since) > Micros::from_secs_f64(self.tuning.round_s);
@@ -268,11 +269,15 @@
                 held_back = None;
             }
             let gang = self.jobs.get(&id).is_some_and(Job::is_gang);
-            let started = if gang {
+            let placed = if gang {
                 self.place_gang(&id, &mut rooms)
             } else {
                 self.place_array(&id, &mut rooms, fetched)
             };
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.wait.passed_over = placed.err();
+            }
+            let started = placed.unwrap_or(0);
             planned += started;
             if started > 0
                 && let Some(job) = self.jobs.get(&id)
@@ -351,11 +356,15 @@
             && machine.heard.is_some_and(|at| self.now.since(at) < recent)
     }
 
-    fn place_array(&mut self, id: &str, rooms: &mut Rooms, fetched: bool) -> usize {
-        let Some(job) = self.jobs.get(id) else { return 0 };
+    /// Starts as many tasks of an array or a service as it may have and as fit; if none, why.
+    fn place_array(&mut self, id: &str, rooms: &mut Rooms, fetched: bool) -> Result<usize, WaitReason> {
+        let Some(job) = self.jobs.get(id) else { return Ok(0) };
         let spec = job.spec.clone();
         let short = self.wanted(job).saturating_sub(job.placed()).min(MOST_STARTS as u32);
         let mut allowance = self.allowance(&spec);
+        if let Some(reason) = allowance.refusal(spec.need()) {
+            return Err(reason);
+        }
         let short = u64::from(short).min(spec.need().times_in(allowance.room()));
         let zones = self.zone_counts(id);
         let names = if self.may_displace(&spec) {
@@ -380,7 +389,10 @@
             rooms.take(&names, spec.need());
             names
         };
-        let Some(job) = self.jobs.get(id).filter(|_| !names.is_empty()) else { return 0 };
+        if names.is_empty() {
+            return Err(WaitReason::NoMachine);
+        }
+        let Some(job) = self.jobs.get(id) else { return Ok(0) };
         let open = |i: &u32| !job.done.contains(*i) && !job.on.contains_key(i);
         let starts: Vec<u32> = (job.next..spec.tasks).filter(open).take(names.len()).collect();
         let attempt = self.next_attempt(id);
@@ -390,7 +402,7 @@
         if let (Some(job), Some(first)) = (self.jobs.get_mut(id), starts.first()) {
             job.next = *first;
         }
-        starts.len()
+        Ok(starts.len())
     }
 
     /// Adds tasks that are to be on these machines to a job's tasks by zone.
@@ -508,22 +520,22 @@
         Micros::from_secs_f64((spec.image_gb / rate * shared as f64 * part).max(1e-3))
     }
 
-    /// Starts all tasks of a gang, or none. No task of an earlier attempt may be left.
-    fn place_gang(&mut self, id: &str, rooms: &mut Rooms) -> usize {
-        let Some(job) = self.jobs.get(id) else { return 0 };
+    /// Starts all tasks of a gang, or none and says why. No task of an earlier attempt may be left.
+    fn place_gang(&mut self, id: &str, rooms: &mut Rooms) -> Result<usize, WaitReason> {
+        let Some(job) = self.jobs.get(id) else { return Ok(0) };
         let spec = job.spec.clone();
         if self.wanted(job) < spec.tasks {
-            return 0;
+            return Err(WaitReason::NotAdmitted);
         }
         if !job.on.is_empty() {
-            return self.complete_gang(id, &spec, rooms);
+            return Ok(self.complete_gang(id, &spec, rooms));
         }
         let total = spec.need();
         let n = u64::from(spec.tasks);
         let whole = total.times(n);
         let mut allowance = self.allowance(&spec);
-        if !(Resources { memory: 0, ..whole }).fits(allowance.room()) {
-            return 0;
+        if let Some(reason) = allowance.refusal(whole) {
+            return Err(reason);
         }
         let mut zones: Vec<Option<String>> = vec![None];
         if spec.one_zone {
@@ -543,13 +555,13 @@
                 best = Some((room, names));
             }
         }
-        let Some((_, chosen)) = best else { return 0 };
+        let Some((_, chosen)) = best else { return Err(WaitReason::NoMachine) };
         rooms.take(&chosen, total);
         let attempt = self.next_attempt(id);
         for (index, name) in chosen.iter().enumerate() {
             self.plan(id, index as u32, attempt, name, &mut allowance);
         }
-        size
+        Ok(size)
     }
 
     /// A gang that has not started may lack a task whose start was lost or refused: a replacement
--- a/src/coordination/quota/permit.rs
+++ b/src/coordination/quota/permit.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::records::Allotment;
 use crate::coordination::Controller;
 use crate::coordination::model::Pending;
+use crate::coordination::waiting::WaitReason;
 use crate::protocol::job::JobSpec;
 use crate::protocol::units::Resources;
 use crate::protocol::worker::TaskId;
@@ -36,6 +37,19 @@
         self.room
     }
 
+    /// Why so much may not be started; none where it may.
+    pub fn refusal(&self, need: Resources) -> Option<WaitReason> {
+        if self.room == Resources::default() && self.granted.is_none() {
+            Some(WaitReason::QuotaUndivided)
+        } else if need.cpu > self.room.cpu {
+            Some(WaitReason::QuotaProcessors)
+        } else if need.gpu > self.room.gpu {
+            Some(WaitReason::QuotaAccelerators)
+        } else {
+            None
+        }
+    }
+
     /// Takes what one task needs.
     pub fn take(&mut self, need: Resources) -> Option<Permit> {
         let need = Resources { memory: 0, ..need };
@@ -99,6 +113,11 @@
         rows.clone().find(mine).map(|r| (r.cpu, r.gpu))
     }
 
+    /// The same for the operators' log.
+    pub(in crate::coordination) fn quota_share(&self, team: &str) -> Option<(u64, u64)> {
+        self.own_share(team)
+    }
+
     /// Says on what a start rests, for a timeline.
     pub(in crate::coordination) fn log_planned(&self, task: &TaskId, machine: &str, by: &Allowance) {
         tracing::debug!(
--- a/src/coordination/simulation/idle.rs
+++ b/src/coordination/simulation/idle.rs
@@ -201,11 +201,14 @@
         let volumes: Vec<_> = owners
             .flat_map(|c| c.jobs.values().filter(|j| j.owner.as_deref() == Some(c.me())))
             .filter(|j| j.spec.team == spec.team)
-            .map(|j| (&j.spec.id, &j.owner, j.volume, j.placed(), j.unfinished(), j.spec.cpus, j.spec.gpus))
+            .map(|j| {
+                let reason = j.wait.reason();
+                (&j.spec.id, &j.owner, j.volume, j.placed(), j.unfinished(), j.spec.cpus, j.spec.gpus, reason)
+            })
             .collect();
         format!(
             "{id} waits since {since:?}, now {:?}: {spec:?}; its team took {most:?} at most; room all the while on \
-             {free:?}; the team's jobs (owner, volume, placed, unfinished, need): {volumes:?}\n{}",
+             {free:?}; the team's jobs (owner, volume, placed, unfinished, need, why it has nothing running since): {volumes:?}\n{}",
             self.now,
             self.describe(id)
         )
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -178,6 +178,9 @@
             text += &format!("marblewalk_submissions_{what}_total{{{labels}}} {n}\n");
         }
     }
+    for (reason, count) in c.jobs_waiting() {
+        text += &format!("marblewalk_jobs_waiting{{reason=\"{}\"}} {count}\n", reason.name());
+    }
     for breach in Breach::all() {
         let count = c.quota_breaches(breach);
         text += &format!("marblewalk_quota_breaches_total{{rule=\"{}\"}} {count}\n", breach.name());
