No job waits in calm beside room that others do not use

Shares are rounded to tasks, room is held for a gang that does not fit, promised to jobs that no machine takes, and of each team's processors the two pools promised twice what there is. Beside it: ended tasks counted against the limit until their completion was recorded; first tasks came before a gang as large as the limit; processors and accelerators were divided apart by an owner's least step; a machine was held for a higher rank's job that waited for its limit; plain work was kept off idle accelerator machines without bound.

Change: volume_plan.rs caps a team's claims on both pools together; backfill.rs gives waiting jobs what the volumes leave, a task or a gang, the longest wait first, gangs held for in 35 of 50 s; stalls.rs tells which jobs make no use of what they have; quota/division.rs divides the vector of both limits in whole start units, the longest wait first; usage counts no task that its machine has said to have ended. Holding a machine for a higher rank asks whether room is what that job lacks, and plain work that has waited 45 s takes accelerator machines.

Volumes stay max(1, min(demand, alpha * priority)) by bisection.

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -125,6 +125,8 @@
     Nth(u32),
     /// It takes what those leave, in this order.
     Spare(u32),
+    /// It has waited for long and takes what all others leave idle: what it starts with, and no more when that ends.
+    Backfill,
 }
 
 /// What is decided on an offer.
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -2,8 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use marblewalk_admission::pool::Turn;
-
 use crate::bookkeeping::records::BlockRow;
 use crate::coordination::Controller;
 use crate::coordination::leader::Unplaced;
@@ -155,16 +153,12 @@
 
     /// The jobs that are to have more tasks than they have places, in order of precedence.
     fn short_jobs(&self, spots: &[Spot<'_>]) -> Vec<Short<'_>> {
-        let lacking = |j: &Job| match j.turn {
-            Turn::First if j.started() > 0 => 0,
-            _ => u64::from(j.volume.saturating_sub(j.placed())),
-        };
-        let short = self.jobs.iter().filter(|(_, j)| lacking(j) > 0);
+        let short = self.jobs.iter().filter(|(_, j)| j.lacking() > 0);
         let short = short.filter(|(id, _)| !self.held(id));
         let mut order: Vec<Short> = short
             .filter_map(|(id, job)| {
                 let zones = self.zones_left(id, job, spots.iter().map(|s| (s.machine, s.room)));
-                Some(Short { id, job, owner: job.owner.as_ref()?, count: lacking(job), zones })
+                Some(Short { id, job, owner: job.owner.as_ref()?, count: u64::from(job.lacking()), zones })
             })
             .collect();
         order.sort_by_cached_key(|s| self.precedence(s.job));
@@ -235,7 +229,7 @@
 
     /// How many tasks of a job a machine takes in the room it has.
     fn slots(&self, spec: &JobSpec, name: &str, machine: &Machine, room: Resources, cards: Cards) -> u64 {
-        cards.times(spec, machine, self.room_for(spec, name, room))
+        cards.after(self.waited(&spec.id)).times(spec, machine, self.room_for(spec, name, room))
     }
 
     /// Where all tasks of a gang fit: where its owner has the room already, or else in the zone that
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,32 +1,29 @@
 //! The leader's rounds: who is a member, what volume each job has, who holds which machine.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use marblewalk_admission::plan::Planner;
-use marblewalk_admission::pool::{self, Entitlement, FlowShare, Offer, Turn, Verdict};
+use marblewalk_admission::pool::FlowShare;
 use marblewalk_retry::Backoff;
 
 use crate::bookkeeping::blocks;
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, BlockRow, ViewRecord};
+use crate::coordination::backfill::Backfill;
 use crate::coordination::blocks::{SETTLE, ZonesLeft};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::model::{Job, Machine};
 use crate::coordination::placement::allows;
-use crate::coordination::volumes::{Claim, share};
+use crate::coordination::stalls::Stalls;
 use crate::coordination::{Controller, Effect, Purpose, rules};
-use crate::protocol::job::{JobSpec, Shape};
+use crate::protocol::job::JobSpec;
 use crate::protocol::peer::{PeerMessage, Volume};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
-use crate::protocol::units::{Micros, Resources};
+use crate::protocol::units::Micros;
 
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
 
-/// How much more than others of its rank a job counts that can still meet its aim, and how much more
-/// again if it has but one task left.
-const URGENT: f64 = 8.0;
-const SMALL: f64 = 6.0;
 /// How often the leader says how the deployment stands.
 const DESCRIBE_EVERY: Micros = Micros::from_secs(10);
 /// The most that the blocks of one grant may take of a transaction's 64 KiB.
@@ -68,6 +65,10 @@
     pub unplaced: Vec<Unplaced>,
     /// Since when jobs have been below their volume for want of a machine.
     pub starved: BTreeMap<String, Micros>,
+    /// Jobs that are given what the volumes leave idle.
+    pub backfill: Backfill,
+    /// Jobs that make no use of their volumes.
+    pub stalls: Stalls,
     /// Divides what is leased of the store's limits.
     pub planner: Option<Planner>,
     pub plan_at: Micros,
@@ -85,19 +86,6 @@
     pub zones: ZonesLeft,
 }
 
-/// One task's share of its pool: processors, or accelerators. A machine that takes only one large
-/// task has but one slot for it, so the share is the machine's part that the task makes unusable.
-fn slot_size(spec: &JobSpec, machines: &[&Machine]) -> f64 {
-    let need = spec.need();
-    let part = |m: &&&Machine| {
-        let times = need.times_in(m.supply).max(1) as f64;
-        if spec.gpus > 0.0 { m.supply.gpu as f64 / times } else { m.supply.cpu as f64 / times }
-    };
-    let plain = if spec.gpus > 0.0 { need.gpu } else { need.cpu } as f64;
-    let least = machines.iter().filter(|m| allows(spec, m)).map(|m| part(&m)).fold(f64::INFINITY, f64::min);
-    if least.is_finite() { least.max(plain) } else { plain.max(1.0) }
-}
-
 impl Controller {
     pub(super) fn leadership_changed(&mut self) {
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
@@ -369,7 +357,9 @@
     }
 
     fn round(&mut self) {
-        let (volumes, shares) = self.volumes();
+        let (mut volumes, shares) = self.volumes();
+        self.note_stalls();
+        self.backfill(&mut volumes);
         if let Some(lead) = &mut self.lead {
             lead.shares = shares;
         }
@@ -412,189 +402,6 @@
         self.size_fleet();
     }
 
-    /// The volumes of all admitted jobs: per pool, and before that per team limit; and what each team
-    /// and class has of the pools.
-    pub(super) fn volumes(&self) -> (Vec<Volume>, Vec<FlowShare>) {
-        let there = self.machines.values().filter(|m| self.serving(m) || self.coming(m));
-        let there: Vec<&Machine> = there.collect();
-        let machines = || there.iter().copied();
-        let total = machines().fold(Resources::default(), |sum, m| sum.plus(m.supply));
-        // What accelerators' work takes of their machines' processors is not there for other work.
-        let (cpu, gpu) = self
-            .jobs
-            .values()
-            .filter(|j| j.spec.gpus > 0.0)
-            .map(|j| (j.spec.need(), u64::from(j.unfinished())))
-            .fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n));
-        let with_cards = machines()
-            .map(|m| (m.supply.gpu * cpu).checked_div(gpu).unwrap_or(0).min(m.supply.cpu))
-            .sum::<u64>();
-        // One of each sort stands for all: a job's share depends on what a machine is, not on which.
-        let mut counted: BTreeMap<_, (&Machine, f64)> = BTreeMap::new();
-        for m in machines() {
-            let sort = (&m.row.kind, &m.row.zone, m.row.spot, m.supply.cpu);
-            counted.entry(sort).or_insert((m, 0.0)).1 += 1.0;
-        }
-        let counted: Vec<(&Machine, f64)> = counted.into_values().collect();
-        let sorts: Vec<&Machine> = counted.iter().map(|(m, _)| *m).collect();
-        let mut volumes = Vec::new();
-        let mut shares = Vec::new();
-        for accelerated in [false, true] {
-            let mut turns = Vec::new();
-            let supply = if accelerated { total.gpu } else { total.cpu.saturating_sub(with_cards) };
-            let mut jobs: Vec<(&String, &Job)> = self
-                .jobs
-                .iter()
-                .filter(|(id, j)| (j.spec.gpus > 0.0) == accelerated && j.unfinished() > 0 && !self.held(id))
-                .collect();
-            // Running jobs keep their floors; the others are admitted by priority, then arrival, when all
-            // fit, and else as the shares of team and class allow (`marblewalk_admission::pool`).
-            jobs.sort_by_cached_key(|(_, j)| (j.on.is_empty(), self.precedence(j)));
-            let mut sizes: HashMap<_, (f64, f64)> = HashMap::new();
-            let size = |spec: &JobSpec| {
-                let need = spec.need();
-                let key = (need.cpu, need.gpu, need.memory, spec.spot, spec.types.clone(), spec.zone.clone());
-                *sizes.entry(key).or_insert_with(|| {
-                    let size = slot_size(spec, &sorts);
-                    let fit = counted.iter().filter(|(m, _)| allows(spec, m));
-                    let slots: f64 = fit.map(|(m, n)| need.times_in(m.supply) as f64 * n).sum();
-                    (size, size * slots)
-                })
-            };
-            let offers: Vec<Offer<'_>> =
-                jobs.iter().map(|(_, j)| j).map(self.offers(accelerated, size)).collect();
-            let entitled = |team: &str| self.team_entitlement(team, accelerated);
-            let (verdicts, flows) = pool::divide(&offers, supply as f64, entitled);
-            shares.extend(flows);
-            let mut claims = Vec::new();
-            for (((id, job), offer), verdict) in jobs.into_iter().zip(&offers).zip(verdicts) {
-                let Verdict::Admitted { most, turn } = verdict else { continue };
-                let weight = match turn {
-                    Turn::Usual => self.urgency(job),
-                    Turn::First | Turn::Nth(_) => URGENT * (1.0 + SMALL),
-                    Turn::Spare(_) => 1.0,
-                };
-                let priority = job.spec.priority.weight() * weight;
-                let claim = Claim { priority, demand: most, floor: offer.floor(), size: offer.size };
-                claims.push((id, job, claim));
-                turns.push(turn);
-            }
-            self.cap_by_team(&mut claims, accelerated);
-            let plain: Vec<Claim> = claims.iter().map(|c| c.2.clone()).collect();
-            let fill = share(&plain, supply as f64).into_iter().zip(turns);
-            volumes.extend(claims.iter().zip(fill).map(|((id, ..), (tasks, turn))| Volume {
-                job: (*id).clone(),
-                tasks,
-                turn,
-            }));
-        }
-        (volumes, shares)
-    }
-
-    /// What the admission is told of a job.
-    fn offers<'a>(
-        &'a self,
-        accelerated: bool,
-        mut size: impl FnMut(&JobSpec) -> (f64, f64),
-    ) -> impl FnMut(&&'a Job) -> Offer<'a> {
-        let mut aims: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
-        for o in self.settings.params.objectives.iter().filter(|o| o.kind == "finished") {
-            if let (Some(class), Some(within)) = (o.class.as_deref(), o.within_s) {
-                aims.entry(class).or_default().push(within);
-            }
-        }
-        move |job| {
-            let spec = &job.spec;
-            let age = self.now.since(job.since).as_secs_f64();
-            let aims = aims.get(spec.class.as_str()).into_iter().flatten().copied();
-            let due = spec.deadline_s.into_iter().chain(aims).map(|within| within - age);
-            let (size, usable) = size(spec);
-            let need = spec.need();
-            Offer {
-                taken: if accelerated { need.gpu } else { need.cpu } as f64,
-                team: &spec.team,
-                class: &spec.class,
-                rank: spec.priority as u8,
-                arrival: job.stamp,
-                tasks: self.worth_trying(&spec.id, job),
-                of: spec.tasks,
-                whole: spec.shape != Shape::Array,
-                begun: !job.on.is_empty(),
-                started: job.started(),
-                size,
-                usable,
-                task_s: spec.estimate_s,
-                due_s: pool::nearest(due, spec.estimate_s),
-                starts_missed: self.starts_missed(job).0,
-            }
-        }
-    }
-
-    /// A team's guarantee and limit in a pool.
-    fn team_entitlement(&self, team: &str, accelerated: bool) -> Entitlement {
-        let team = self.settings.params.teams.iter().find(|t| t.name == team);
-        team.map_or(Entitlement::default(), |t| {
-            let (guarantee, limit) = if accelerated { (t.gpus, t.gpus_max) } else { (t.cpus, t.cpus_max) };
-            Entitlement { guarantee: guarantee * 1e3, limit: limit * 1e3 }
-        })
-    }
-
-    /// Within a rank, between 1 and 56: jobs that can still be done in the time their class aims at
-    /// come before those that cannot, and of these the ones with little left before those with much.
-    ///
-    /// With equal priorities a full pool is shared so that all jobs finish late together.
-    fn urgency(&self, job: &Job) -> f64 {
-        let aims = self
-            .settings
-            .params
-            .objectives
-            .iter()
-            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(job.spec.class.as_str()));
-        let age = self.now.since(job.since).as_secs_f64();
-        let mut due = job.spec.deadline_s.into_iter().chain(aims.filter_map(|o| o.within_s));
-        if due.any(|within| within - age > job.spec.estimate_s * 0.6) {
-            URGENT * (1.0 + SMALL / f64::from(job.unfinished().max(1)).sqrt())
-        } else {
-            1.0
-        }
-    }
-
-    /// Lowers demands to the same fair fill of each team's limit.
-    fn cap_by_team(&self, claims: &mut [(&String, &Job, Claim)], accelerated: bool) {
-        for team in &self.settings.params.teams {
-            for (limit, of) in [(team.cpus_max, false), (team.gpus_max, true)] {
-                if limit <= 0.0 || (of && !accelerated) {
-                    continue;
-                }
-                let mine: Vec<usize> =
-                    (0..claims.len()).filter(|i| claims[*i].1.spec.team == team.name).collect();
-                let needs = |job: &Job| if of { job.spec.need().gpu } else { job.spec.need().cpu } as f64;
-                // In their order: those that run keep their floors, and of the others each is admitted when its
-                // floor fits. One that does not fit yet is not passed by later ones, for they would never end.
-                let mut room = limit * 1e3;
-                for i in &mine {
-                    let (_, job, claim) = &mut claims[*i];
-                    let floor = f64::from(claim.floor.min(claim.demand)) * needs(job);
-                    if job.on.is_empty() && floor > room + 1e-6 {
-                        claim.demand = 0;
-                    }
-                    room -= floor;
-                }
-                let plain: Vec<Claim> = mine
-                    .iter()
-                    .map(|i| {
-                        let size = needs(claims[*i].1);
-                        Claim { size, ..claims[*i].2.clone() }
-                    })
-                    .collect();
-                for (i, volume) in mine.iter().zip(share(&plain, limit * 1e3)) {
-                    let claim = &mut claims[*i].2;
-                    claim.demand = claim.demand.min(volume.max(claim.floor));
-                }
-            }
-        }
-    }
-
     /// Surplus tasks to stop: of arrays above their volume, for jobs of higher priority that have sat
     /// below theirs for the set wait. Attrition serves all others.
     fn find_surplus(&mut self, volumes: &[Volume]) -> Vec<(String, u32)> {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! be carried out. Nothing here waits, so a seeded test can run a whole cluster step by step.
 
 mod admission;
+mod backfill;
 mod blocks;
 mod failures;
 mod finals;
@@ -18,7 +19,9 @@
 mod quota;
 mod replica;
 mod rules;
+mod stalls;
 mod takeover;
+mod volume_plan;
 pub mod volumes;
 mod waiting;
 mod words;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -40,6 +40,8 @@
     pub on: BTreeMap<u32, Vec<String>>,
     /// How many of these are not done, kept in step: every event asks for it.
     placed: u32,
+    /// Places whose machine has said that the task there has ended: it stays there until it is forgotten.
+    ended: BTreeSet<(u32, String)>,
     pub volume: u32,
     /// When its turn comes, as the leader last said.
     pub turn: Turn,
@@ -68,6 +70,7 @@
             progress_at: Micros::ZERO,
             on: BTreeMap::new(),
             placed: 0,
+            ended: BTreeSet::new(),
             volume: 0,
             turn: Turn::Usual,
             next: 0,
@@ -82,6 +85,7 @@
     }
 
     pub fn put_on(&mut self, index: u32, machine: &str) {
+        self.note_ended(index, machine, false);
         let places = self.on.entry(index).or_default();
         if places.is_empty() && !self.done.contains(index) {
             self.placed += 1;
@@ -92,6 +96,7 @@
     }
 
     pub fn take_off(&mut self, index: u32, machine: &str) {
+        self.note_ended(index, machine, false);
         if let Some(places) = self.on.get_mut(&index) {
             places.retain(|m| m != machine);
             if places.is_empty() {
@@ -104,6 +109,33 @@
         }
     }
 
+    /// Notes whether a task has ended on a machine, as that has said.
+    pub fn note_ended(&mut self, index: u32, machine: &str, ended: bool) {
+        let place = (index, machine.to_owned());
+        if ended {
+            self.ended.insert(place);
+        } else if !self.ended.is_empty() {
+            self.ended.remove(&place);
+        }
+    }
+
+    /// Tasks that run or may run somewhere: those that have ended wherever they were do not, though they are not
+    /// forgotten yet.
+    pub fn in_use(&self) -> u32 {
+        let mut ended_at: BTreeMap<u32, usize> = BTreeMap::new();
+        for (index, _) in &self.ended {
+            *ended_at.entry(*index).or_default() += 1;
+        }
+        let gone = |(index, ended): &(&u32, &usize)| self.on.get(*index).is_none_or(|p| p.len() <= **ended);
+        self.on.len() as u32 - ended_at.iter().filter(gone).count() as u32
+    }
+
+    /// Places at which tasks run or may run.
+    pub fn places_in_use(&self) -> u64 {
+        let places: u64 = self.on.values().map(|places| places.len() as u64).sum();
+        places.saturating_sub(self.ended.len() as u64)
+    }
+
     /// Tasks that are somewhere, or may be, and are not done.
     pub fn placed(&self) -> u32 {
         self.placed
@@ -114,6 +146,16 @@
         self.placed + self.done.len()
     }
 
+    /// How many more tasks it may have than are placed, as the leader last said.
+    pub fn lacking(&self) -> u32 {
+        match self.turn {
+            // It has had its first task; the place is another's when that ends.
+            Turn::First if self.started() > 0 => 0,
+            Turn::Backfill if self.placed > 0 && self.spec.shape == Shape::Array => 0,
+            _ => self.volume.saturating_sub(self.placed),
+        }
+    }
+
     /// Adds completions that the store holds.
     pub fn merge(&mut self, chunk: usize, value: &serde_json::Value) {
         self.stored.merge(chunk, value, self.spec.tasks);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -22,6 +22,10 @@
 
 /// What part of a controller's changes records the progress of its jobs, at most.
 const PROGRESS_SHARE: f64 = 0.3;
+/// A backfilled array whose task has ended starts no other for at least so long, whatever the leader last said.
+const AGAIN_AFTER: Micros = Micros::from_secs(10);
+/// Plain work that has had nothing running for so long is kept off accelerators' machines no more.
+const KEPT_OFF_AT_MOST: Micros = Micros::from_secs(45);
 /// Accelerators count as spare while more than one in so many is free.
 const SPARE_PART: u64 = 4;
 
@@ -40,14 +44,22 @@
     /// Teams are guaranteed accelerators, so that the machines stand there anyway, and a good part of
     /// these has no work.
     spare: bool,
+    /// The job in question has waited for too long to be kept off any machine.
+    overdue: bool,
 }
 
 impl Cards {
+    /// The same for a job that has had nothing running for so long.
+    pub(super) fn after(self, waited: Micros) -> Cards {
+        Cards { overdue: waited >= KEPT_OFF_AT_MOST, ..self }
+    }
+
     /// Work without accelerators may use what accelerator work leaves of a machine that it has in use,
     /// but does not keep such a machine for itself, which costs several times as much, unless the
     /// machine is there and paid for anyway.
     pub(super) fn keep_off(self, spec: &JobSpec, machine: &Machine, room: Resources) -> bool {
-        if spec.gpus > 0.0 || machine.supply.gpu == 0 || spec.types.is_some() || self.idles(machine) {
+        let open = self.overdue || self.idles(machine);
+        if spec.gpus > 0.0 || machine.supply.gpu == 0 || spec.types.is_some() || open {
             return false;
         }
         let cards_in_use = machine.tasks.values().any(|t| !t.ended() && t.need.gpu > 0);
@@ -64,7 +76,7 @@
         if self.keep_off(spec, machine, room) {
             return 0;
         }
-        if spec.gpus == 0.0 && machine.supply.gpu > 0 && !self.idles(machine) {
+        if spec.gpus == 0.0 && machine.supply.gpu > 0 && !self.overdue && !self.idles(machine) {
             room.cpu = room.cpu.saturating_sub(room.gpu / 1000 * self.per_card);
         }
         spec.need().times_in(room)
@@ -166,10 +178,17 @@
             _ if unheard => unfinished,
             // It has had its first task; the place is another's when that ends.
             Turn::First if job.started() > 0 => job.placed().min(job.volume),
+            Turn::Backfill if job.spec.shape == Shape::Array => self.backfilled(job),
             _ => job.volume.min(unfinished),
         }
     }
 
+    /// How many tasks a backfilled array may have: what it starts with once it has waited, and no other when that ends.
+    fn backfilled(&self, job: &Job) -> u32 {
+        let may_start = job.placed() == 0 && job.wait.waited(self.now) >= AGAIN_AFTER;
+        if may_start { job.volume.min(job.unfinished()) } else { job.placed().min(job.volume) }
+    }
+
     /// Who comes first: by rank, then by the turn that the leader has named, if there is not room for
     /// all, else by arrival. Of gangs, those that can still start in the time their
     /// class aims at come first, small ones before large ones, for in a full fleet one large gang would
@@ -184,6 +203,7 @@
             Turn::First => return Precedence(rank, 0, 0, job.stamp),
             Turn::Nth(turn) => return Precedence(rank, 1, turn, job.stamp),
             Turn::Spare(turn) => return Precedence(rank, u8::MAX, turn, job.stamp),
+            Turn::Backfill => return Precedence(rank, u8::MAX, u32::MAX, job.stamp),
         }
         if !job.is_gang() {
             return Precedence(rank, 1, 0, job.stamp);
@@ -304,9 +324,16 @@
     /// room for it.
     fn hold_room(&self, rooms: &mut Rooms, rank: u8) {
         let waiting = self.jobs.values().filter(|j| {
-            u8::MAX - j.spec.priority as u8 <= rank && self.places(j) && j.placed() < self.wanted(j)
+            u8::MAX - j.spec.priority as u8 <= rank
+                && self.places(j)
+                && j.placed() < self.wanted(j)
+                // What waits for its team's limit does not wait for a machine.
+                && j.wait.passed_over.is_none_or(WaitReason::is_for_machines)
         });
         for job in waiting {
+            let cards = rooms.cards.after(job.wait.waited(self.now));
+            // Where there is room for one of its tasks it is something else that keeps it from starting.
+            let lacks_room = |room: Resources| job.is_gang() || !job.spec.need().fits(room);
             // Room where it may not be helps it nothing: jobs bound to a full zone held the others' machines idle.
             let zones = self.zone_counts(&job.spec.id);
             let here = |m: &Machine| zones.get(&m.row.zone).copied().unwrap_or(0);
@@ -315,7 +342,8 @@
                 .free
                 .iter()
                 .filter_map(|(name, room)| self.machines.get(name).map(|m| (name, room, m)))
-                .filter(|(_, _, m)| allows(&job.spec, m) && open(m))
+                .filter(|(_, room, m)| allows(&job.spec, m) && open(m) && lacks_room(**room))
+                .filter(|(_, room, m)| !cards.keep_off(&job.spec, m, **room))
                 .max_by_key(|(_, room, m)| room.cpu * 1000 / m.supply.cpu.max(1))
                 .map(|(name, ..)| name.clone());
             if let Some(name) = best {
@@ -681,6 +709,7 @@
     ) -> Vec<String> {
         let need = spec.need();
         let closed = HeldBack::from(self, &rooms.reserved, spec);
+        let cards = rooms.cards.after(self.waited(&spec.id));
         let mut options: Vec<(Preference, &String, Resources, &Machine)> = Vec::new();
         // Most machines are full, and this is asked for every waiting job: the cheap check first.
         for (name, room) in rooms.free.iter().filter(|(_, room)| count > 0 && need.fits(**room)) {
@@ -703,7 +732,7 @@
             let before = names.len();
             while names.len() < count
                 && need.fits(self.room_for(spec, name, room))
-                && !rooms.cards.keep_off(spec, machine, room)
+                && !cards.keep_off(spec, machine, room)
                 && zone_open(spec, here, total)
             {
                 names.push(name.clone());
@@ -727,7 +756,7 @@
         let guaranteed = self.settings.params.teams.iter().any(|t| t.gpus > 0.0);
         let with_cards = machines.filter(|m| guaranteed && m.supply.gpu > 0);
         let (free, all) = with_cards.fold((0, 0), |(free, all), m| (free + m.free().gpu, all + m.supply.gpu));
-        Cards { per_card, spare: free > 0 && free * SPARE_PART >= all }
+        Cards { per_card, spare: free > 0 && free * SPARE_PART >= all, overdue: false }
     }
 
     /// The leader's volumes. A job it does not name is not admitted.
--- a/src/coordination/quota/grants.rs
+++ b/src/coordination/quota/grants.rs
@@ -1,9 +1,12 @@
 //! The leader's division of the limits that bind, and the record of it.
 
+use std::collections::BTreeMap;
+
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, Allotment, QuotaRecord};
 use crate::coordination::model::Job;
-use crate::coordination::quota::division::{Share, divide};
+use crate::coordination::quota::division::{Member, Order, Unit, divide};
+use crate::coordination::volume_plan::limits;
 use crate::coordination::{Controller, Purpose};
 use crate::protocol::store::{Condition, StoreCall, Transaction, Write};
 use crate::protocol::units::Resources;
@@ -95,25 +98,71 @@
         self.quota.0.rows.iter().find(mine).map_or((0, 0), |r| (r.cpu, r.gpu))
     }
 
+    /// What is left of a member's share of a team's limit; none where the limit does not bind.
+    pub(in crate::coordination) fn left_of_share(&self, member: &str, team: &str) -> Option<Resources> {
+        let team = self.settings.params.teams.iter().find(|t| t.name == team)?;
+        let divided = self.quota.0.view == self.view_stamp;
+        if !divided || !self.quota.0.rows.iter().any(|r| r.team == team.name) {
+            return None;
+        }
+        let node = *self.nodes.get(member)?;
+        let granted = self.share_in_force(member, node, team);
+        Some(granted.minus(self.used_by(member, node, team)))
+    }
+
+    /// What a member may use of a team's limits by the record in force; without bound where there is none.
+    fn share_in_force(&self, member: &str, node: u64, team: &Team) -> Resources {
+        let (cpu, gpu) = self.share_of(member, node, team);
+        let limits = limits(team);
+        let cpu = if team.cpus_max > 0.0 { cpu } else { limits.cpu };
+        let gpu = if team.gpus_max > 0.0 { gpu } else { limits.gpu };
+        Resources { cpu, gpu, memory: limits.memory }
+    }
+
+    /// What a member last said that its jobs of a team use.
+    fn used_by(&self, member: &str, node: u64, team: &Team) -> Resources {
+        let told = self.word_of(member, node).and_then(|s| s.usage.iter().find(|u| u.0 == team.name));
+        told.map_or(Resources::default(), |u| Resources { cpu: u.1, gpu: u.2, memory: 0 })
+    }
+
     /// What each member may use of a team's limits from now on: processors and accelerators.
     fn divided(&self, team: &Team) -> Vec<(u64, u64)> {
-        let share = |(member, node): &(String, u64), gpu: bool| {
-            let of = |pair: (u64, u64)| if gpu { pair.1 } else { pair.0 };
-            let amount = |need: Resources| of((need.cpu, need.gpu));
-            let granted = of(self.share_of(member, *node, team));
-            let told = self.word_of(member, *node).and_then(|s| s.usage.iter().find(|u| u.0 == team.name));
-            let used = told.map_or(0, |u| of((u.1, u.2)));
-            let owned = |j: &&Job| j.owner.as_deref() == Some(member) && j.spec.team == team.name;
-            let wish = |j: &Job| amount(j.spec.need()) * u64::from(j.volume.max(j.on.len() as u32));
-            let requested = self.jobs.values().filter(owned).map(wish).sum();
-            let short = self.jobs.values().filter(|j| j.volume > j.placed()).filter(owned);
-            let step = short.map(|j| amount(j.spec.need()) * u64::from(j.spec.floor())).min().unwrap_or(0);
-            Share { granted, used, requested, step }
+        // Of what has no limit nothing is divided.
+        let limited = |amount: Resources| Resources {
+            cpu: if team.cpus_max > 0.0 { amount.cpu } else { 0 },
+            gpu: if team.gpus_max > 0.0 { amount.gpu } else { 0 },
+            memory: 0,
         };
-        let next = |limit: f64, gpu: bool| {
-            let shares: Vec<Share> = self.view.members.iter().map(|m| share(m, gpu)).collect();
-            divide((limit * 1e3) as u64, &shares)
+        let mut units: BTreeMap<&str, Vec<Unit>> = BTreeMap::new();
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.spec.team == team.name) {
+            if let Some(owner) = job.owner.as_deref().filter(|_| job.lacking() > 0) {
+                let of_member = units.entry(owner).or_default();
+                of_member.extend(self.units(id, job).map(|u| Unit { need: limited(u.need), ..u }));
+            }
+        }
+        let member = |(member, node): &(String, u64)| Member {
+            granted: limited(self.share_in_force(member, *node, team)),
+            used: limited(self.used_by(member, *node, team)),
+            units: units.remove(member.as_str()).unwrap_or_default(),
         };
-        next(team.cpus_max, false).into_iter().zip(next(team.gpus_max, true)).collect()
+        let members: Vec<Member> = self.view.members.iter().map(member).collect();
+        let shares = divide(limited(limits(team)), &members);
+        shares.into_iter().map(|share| (share.cpu, share.gpu)).collect()
+    }
+
+    /// What a job could start: first a task or, of a gang, all that are missing, then the others.
+    fn units(&self, id: &str, job: &Job) -> impl Iterator<Item = Unit> {
+        let lacking = u64::from(job.lacking());
+        let at_once = if job.is_gang() { lacking } else { 1 };
+        let running = !job.on.is_empty();
+        let since = job.wait.since.map_or(u64::MAX, |since| since.0);
+        let first = Order { stalled: self.is_stalled(id), running, since, arrival: job.stamp };
+        let others = Order { running: true, since: u64::MAX, ..first };
+        let need = Resources { memory: 0, ..job.spec.need() };
+        [
+            Unit { order: first, need: need.times(at_once), count: 1 },
+            Unit { order: others, need, count: lacking - at_once },
+        ]
+        .into_iter()
     }
 }
--- a/src/coordination/quota/usage.rs
+++ b/src/coordination/quota/usage.rs
@@ -66,15 +66,15 @@
         requested
     }
 
-    /// What tasks of this controller's jobs of a team take, wherever they are or may be.
+    /// What tasks of this controller's jobs of a team take, wherever they are or may be. What has ended takes nothing: a
+    /// task stays on its machine until its completion is recorded, and of short ones a fifth of a limit lay idle so.
     pub(in crate::coordination) fn team_usage(&self, team: &str) -> (u64, u64) {
         let mine = |j: &&Job| j.owner.as_deref() == Some(self.me()) && j.spec.team == team;
-        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), j.on.len() as u64));
+        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), u64::from(j.in_use())));
         let mine = |(id, j): &(&String, &Job)| {
             j.spec.team == team && self.owner_of(id).as_deref() == Some(self.me())
         };
-        let places = |j: &Job| j.on.values().map(|p| p.len() as u64).sum::<u64>();
-        let over = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), places(j)));
+        let over = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), j.places_in_use()));
         // Of a job that was over before this controller joined it knows neither team nor size. Its tasks may be
         // any team's, and take all that the others leave of their machines: a controller that was back at once
         // did not count eight processors of a withdrawn job that still ran, and started as many more.
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -182,6 +182,7 @@
                     for (id, t) in here.take_while(|(id, _)| id.job == job) {
                         t.need = need;
                         job_state.put_on(id.index, &name);
+                        job_state.note_ended(id.index, &name, t.ended());
                     }
                 }
                 self.jobs.insert_sorted(job.to_owned(), job_state);
@@ -455,6 +456,12 @@
         let Some(machine) = self.machines.get_mut(name) else { return };
         let before = std::mem::replace(&mut machine.tasks, tasks);
         let after = &machine.tasks;
+        let was_ended = |id: &TaskId| before.get(id).is_some_and(TaskOn::ended);
+        let changed: Vec<(&TaskId, bool)> = after
+            .iter()
+            .filter(|(id, t)| t.ended() != was_ended(id))
+            .map(|(id, t)| (id, t.ended()))
+            .collect();
         for id in before.keys().filter(|id| !after.contains_key(*id)) {
             if let Some(job) = self.jobs.get_mut(&id.job).or_else(|| self.retired.get_mut(&id.job)) {
                 job.take_off(id.index, name);
@@ -476,6 +483,11 @@
                 self.strangers.insert(id.job.clone(), [name.to_owned()].into());
             }
         }
+        for (id, ended) in changed {
+            if let Some(job) = self.jobs.get_mut(&id.job).or_else(|| self.retired.get_mut(&id.job)) {
+                job.note_ended(id.index, name, ended);
+            }
+        }
     }
 
     pub(super) fn need_of(&self, job: &str) -> Resources {
--- a/src/coordination/simulation/meetings_jobs.rs
+++ b/src/coordination/simulation/meetings_jobs.rs
@@ -404,7 +404,7 @@
 fn transactions_that_only_lose_their_answer_mislead_nobody() {
     let mut met = Vec::new();
     for (kind, (name, _)) in KINDS.iter().enumerate() {
-        let lost: u32 = (0..3).map(|seed| unanswered(2_200 + seed, kind).met.answers_lost).sum();
+        let lost: u32 = (0..4).map(|seed| unanswered(2_200 + seed, kind).met.answers_lost).sum();
         met.push((*name, lost));
     }
     eprintln!("answers lost: {met:?}");
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -38,6 +38,11 @@
 }
 
 impl WaitReason {
+    /// Whether a machine with more room would help.
+    pub(super) fn is_for_machines(self) -> bool {
+        self == WaitReason::NoMachine
+    }
+
     /// Its name among the operators' figures.
     pub fn name(self) -> &'static str {
         match self {
@@ -106,6 +111,11 @@
         self.waits.counts.iter().map(|(reason, count)| (*reason, *count))
     }
 
+    /// For how long nothing of a job has been placed.
+    pub(super) fn waited(&self, id: &str) -> Micros {
+        self.jobs.get(id).map_or(Micros::ZERO, |job| job.wait.waited(self.now))
+    }
+
     /// Puts the reasons together, once a second.
     pub(super) fn note_waits(&mut self) {
         if self.now.since(self.waits.noted_at) < NOTE_EVERY {
@@ -118,11 +128,12 @@
         let mut counts = BTreeMap::new();
         let mut due = Vec::new();
         for (index, (job, reason)) in self.jobs.values_mut().zip(reasons).enumerate() {
+            let placed = job.placed() > 0;
             let wait = &mut job.wait;
-            if job.on.is_empty() {
-                wait.since.get_or_insert(now);
-            } else {
+            if placed {
                 wait.since = None;
+            } else {
+                wait.since.get_or_insert(now);
             }
             if let Some(reason) = reason {
                 *counts.entry(reason).or_default() += 1;
@@ -141,7 +152,7 @@
         if job.unfinished() == 0 || job.completing || job.owner.as_deref() != Some(self.me()) {
             return None;
         }
-        if let Some((index, places)) = job.on.first_key_value() {
+        if let Some((index, places)) = job.on.first_key_value().filter(|_| job.placed() > 0) {
             let task = crate::protocol::worker::TaskId::new(id, *index);
             let mut on = places.iter().filter_map(|name| self.machines.get(name)?.tasks.get(&task));
             return on.all(|t| t.planned()).then_some(WaitReason::Unconfirmed);
