--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -15,8 +15,8 @@
 use marblewalk_admission::pool::Turn;
 
 use crate::coordination::Controller;
+use crate::coordination::eligibility::{HeldBack, allows};
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::{HeldBack, allows};
 use crate::coordination::volume_plan::limits;
 use crate::protocol::job::JobSpec;
 use crate::protocol::peer::Volume;
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -4,9 +4,9 @@
 
 use crate::bookkeeping::records::BlockRow;
 use crate::coordination::Controller;
+use crate::coordination::eligibility::{Cards, HeldBack, allows, keeps_dear};
 use crate::coordination::leader::Unplaced;
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::{Cards, HeldBack, allows, keeps_dear};
 use crate::protocol::job::JobSpec;
 use crate::protocol::units::{Micros, Resources};
 
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -6,8 +6,8 @@
 
 use crate::bookkeeping::budget::Urgency;
 use crate::bookkeeping::records::{self, UninformedRecord};
+use crate::coordination::eligibility::allows;
 use crate::coordination::model::Machine;
-use crate::coordination::placement::allows;
 use crate::coordination::{Controller, Effect, Purpose};
 use crate::protocol::job::JobSpec;
 use crate::protocol::peer::{MachineStatus, PeerMessage};
--- a/src/coordination/volume_plan.rs
+++ b/src/coordination/volume_plan.rs
@@ -9,8 +9,9 @@
 use marblewalk_admission::pool::{self, Entitlement, FlowShare, Offer, Turn, Verdict};
 
 use crate::coordination::Controller;
+use crate::coordination::eligibility::allows;
 use crate::coordination::model::{Job, Machine};
-use crate::coordination::placement::{Precedence, allows};
+use crate::coordination::precedence::Precedence;
 use crate::coordination::volumes::{Claim, share};
 use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::peer::Volume;
