What still runs of jobs that are over counts before a team's limit is divided

Cause: while a limit is not divided nobody counts, as long as what the team has requested is within it. Of a job that is over only its unfinished tasks were among that, of a job that is done none: a second run of a completed task, as after a completion that was recorded late, counted nowhere, and the team could have started its whole limit beside it. Evidence: tasks_that_still_run_of_a_job_that_is_done_count_before_a_limit_is_divided, with the code before: 'assertion failed: controller.bound_teams().contains("blue")' at 41 of 40 processors. Fix: the places that tasks of jobs that are over have on machines are among what their team has requested, until they are seen gone.

--- a/src/coordination/quota/usage.rs
+++ b/src/coordination/quota/usage.rs
@@ -44,9 +44,9 @@
         self.settings.params.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
     }
 
-    /// The most that each team's tasks can take, wherever they are: those of all its live jobs, of jobs
-    /// that have lately left the records, and of jobs that had left them before this controller joined,
-    /// which may be on any machine whose tasks it has never known in full.
+    /// The most that each team's tasks can take, wherever they are: those of all its live jobs, of jobs that have lately
+    /// left the records and were not done, of jobs that have left them and have tasks on machines, and of jobs that had
+    /// left them before this controller joined, which may be on any machine whose tasks it has never known in full.
     fn requested_by_teams(&self) -> BTreeMap<&str, Resources> {
         let orphan = |(id, t): (&TaskId, &TaskOn)| {
             !t.ended() && !self.jobs.contains_key(&id.job) && !self.retired.contains_key(&id.job)
@@ -57,8 +57,12 @@
         let teams = self.settings.params.teams.iter();
         let mut requested: BTreeMap<&str, Resources> = teams.map(|t| (t.name.as_str(), hidden)).collect();
         let all = |j: &Job| j.spec.need().times(u64::from(j.spec.tasks));
+        let there = |j: &Job| j.spec.need().times(j.places_in_use());
         let live = self.jobs.values().map(|j| (&j.spec.team, all(j)));
-        for (team, amount) in live.chain(self.removed.iter().map(|(_, team, amount)| (team, *amount))) {
+        let removed = self.removed.iter().map(|(_, team, amount)| (team, *amount));
+        // Among them second runs of tasks that are done, as when a completion was recorded late.
+        let retired = self.retired.values().map(|j| (&j.spec.team, there(j)));
+        for (team, amount) in live.chain(removed).chain(retired) {
             if let Some(sum) = requested.get_mut(team.as_str()) {
                 *sum = sum.plus(amount);
             }
--- a/src/coordination/simulation/quota_guard.rs
+++ b/src/coordination/simulation/quota_guard.rs
@@ -155,3 +155,30 @@
     }
     assert!(planned > 0, "nothing was planned when the view changed");
 }
+
+/// Guards H3 of a team's limit: of a job that is over only what was unfinished counted in what its team may still use, so
+/// that second runs of its completed tasks, which go on somewhere, counted nowhere while the limit was not divided.
+#[test]
+fn tasks_that_still_run_of_a_job_that_is_done_count_before_a_limit_is_divided() {
+    let mut world = roomy(560, &[("blue", 40.0, 0.0), ("green", 0.0, 0.0)]);
+    let mut numbers = owned_by(1);
+    let done = of_team(&mut world, numbers.next().unwrap(), "blue", 10);
+    go(&mut world, Micros::from_secs(10));
+    assert_eq!(there(&world, &done), 10);
+    let other = of_team(&mut world, numbers.next().unwrap(), "blue", 8);
+    go(&mut world, Micros::from_secs(2));
+    let controller = world.controllers[1].as_mut().unwrap();
+    let need = controller.jobs[&done].spec.need().cpu;
+    let requested = need * 10 + controller.jobs[&other].spec.need().cpu * 8;
+    assert!(requested <= 40_000 && controller.bound_teams().is_empty(), "{requested} of 40000 requested");
+    let job = controller.jobs.get_mut(&done).unwrap();
+    (0..10).for_each(|index| assert!(job.complete(index)));
+    controller.retire(&done);
+    // Both together are within the limit, and a third is not beside them.
+    let mut third = controller.jobs[&other].spec.as_ref().clone();
+    third.id = "j-999999".into();
+    third.tasks = ((40_000 - requested) / third.need().cpu + 1) as u32;
+    let third = crate::coordination::model::Job::new(third, u64::MAX, controller.now);
+    controller.jobs.insert(third.spec.id.clone(), third);
+    assert!(controller.bound_teams().contains("blue"));
+}
