--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -63,7 +63,7 @@
 }
 
 /// Amounts of processor, accelerator and memory, in thousandths so that sums are exact.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct Resources {
     pub cpu: u64,
     pub gpu: u64,
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -117,6 +117,8 @@
             }
         }
         self.spread_idle(&spots, &mut moves);
+        let with_room = spots.iter().filter(|spot| !spot.fresh && spot.room.cpu > 0);
+        let left_by_plan = with_room.map(|spot| (spot.name.to_owned(), spot.room)).collect();
         self.rescue(&mut moves);
         self.regrant(&mut moves);
         for (name, m) in self.machines.iter().filter(|(_, m)| m.renew && self.holds(m)) {
@@ -124,6 +126,7 @@
         }
         self.reserved = reserved;
         let Some(lead) = &mut self.lead else { return Default::default() };
+        lead.left_by_plan = left_by_plan;
         lead.unplaced = unplaced;
         lead.promised = promised;
         let strays = lead.strays.iter().filter(|(n, _)| !self.machines.contains_key(*n));
@@ -162,7 +165,7 @@
                 Some(Short { id, job, owner: job.owner.as_ref()?, count: u64::from(job.lacking()), zones })
             })
             .collect();
-        order.sort_by_cached_key(|s| self.precedence(s.job));
+        order.sort_by_cached_key(|s| self.placing_precedence(s.job));
         order
     }
 
--- a/src/coordination/eligibility.rs
+++ b/src/coordination/eligibility.rs
@@ -32,7 +32,12 @@
 impl Cards {
     /// The same for a job that has had nothing running for so long.
     pub(super) fn after(self, waited: Micros) -> Cards {
-        Cards { overdue: waited >= KEPT_OFF_AT_MOST, ..self }
+        Cards { overdue: Cards::lets_in_after(waited), ..self }
+    }
+
+    /// Whether a job that has had nothing running for so long is kept off no machine.
+    pub(super) fn lets_in_after(waited: Micros) -> bool {
+        waited >= KEPT_OFF_AT_MOST
     }
 
     /// Work without accelerators may use what accelerator work leaves of a machine that it has in use,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -19,7 +19,7 @@
 use crate::protocol::job::JobSpec;
 use crate::protocol::peer::{PeerMessage, Volume};
 use crate::protocol::store::{Condition, StoreCall, StoreReply, Transaction, Write};
-use crate::protocol::units::Micros;
+use crate::protocol::units::{Micros, Resources};
 
 /// The shortest time between two rounds that something has called for.
 const SPACING: Micros = Micros::from_millis(250);
@@ -61,6 +61,8 @@
     pub fleet: Fleet,
     /// Machines that the last round's plan counts on.
     pub promised: BTreeSet<String>,
+    /// Room that the last round's plan left on each machine that has any.
+    pub left_by_plan: BTreeMap<String, Resources>,
     /// Work that found no machine in the last round.
     pub unplaced: Vec<Unplaced>,
     /// Since when jobs have been below their volume for want of a machine.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -99,7 +99,7 @@
         for (id, job) in &self.jobs {
             // A job that the leader does not name is not even asked whose it is, unless there is no leader.
             if job.placed() < self.wanted(job) && self.places(job) && !self.held(id) {
-                let precedence = self.precedence(job);
+                let precedence = self.placing_precedence(job);
                 order.push((precedence, false, id.clone()));
                 // Of jobs that all have their turn, each first takes the machines that have its image:
                 // in their order alone, one would fetch its own where the next has no need to.
--- a/src/coordination/precedence.rs
+++ b/src/coordination/precedence.rs
@@ -3,7 +3,9 @@
 use marblewalk_admission::pool::Turn;
 
 use crate::coordination::Controller;
+use crate::coordination::backfill::OVERDUE_AFTER;
 use crate::coordination::model::Job;
+use crate::protocol::job::Shape;
 
 /// Rank, turn within the rank, size and arrival: the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +19,17 @@
 }
 
 impl Controller {
+    /// Who is placed first: as in [`Controller::precedence`], but that the task of a backfilled array which has waited too
+    /// long comes before further tasks of jobs that run, of whatever rank.
+    pub(super) fn placing_precedence(&self, job: &Job) -> Precedence {
+        let precedence = self.precedence(job);
+        let single = job.turn == Turn::Backfill && job.spec.shape == Shape::Array;
+        if single && job.wait.waited(self.now) >= OVERDUE_AFTER {
+            return Precedence { rank: 0, group: 0, position: 0, ..precedence };
+        }
+        precedence
+    }
+
     /// Who comes first: by rank, then by the turn that the leader has named, if there is not room for
     /// all, else by arrival. Of gangs, those that can still start in the time their
     /// class aims at come first, small ones before large ones, for in a full fleet one large gang would
--- a/src/coordination/simulation/neglect.rs
+++ b/src/coordination/simulation/neglect.rs
@@ -211,6 +211,67 @@
     super::pairs::play_seeds(&seeds);
 }
 
+/// Guards `MOST_BACKFILLED`, a bound of 64 on the jobs that were backfilled at a time: on selatferi's limit day it was reached
+/// in the first round of each cycle (`cap=155`), and all others waited beside machines that fitted. Here 99 jobs of one
+/// processor wait for their team's limit, which is lifted, beside 14 machines with room for more than all.
+#[test]
+fn all_waiting_jobs_that_fit_are_backfilled_however_many_there_are() {
+    let mut world = roomy(3_050, &[("red", 1.0, 0.0), ("green", 0.0, 0.0)]);
+    for nth in 0..100 {
+        let (shape, priority) = (Shape::Array, Priority::Normal);
+        submit(
+            &mut world,
+            "red",
+            Wanted { owner: nth % 3, nth, shape, priority, tasks: 1, cpus: 1.0, gpus: 0.0 },
+        );
+    }
+    go(&mut world, Micros::from_secs(60));
+    let leader = world.leader().unwrap();
+    let leader = world.controllers[leader].as_mut().unwrap();
+    leader.settings.params.teams.iter_mut().for_each(|team| team.cpus_max = 0.0);
+    let waiting = leader.jobs.values().filter(|j| j.placed() == 0).count();
+    let mut volumes = Vec::new();
+    leader.backfill(&mut volumes);
+    assert_eq!((waiting, volumes.len()), (99, 99));
+}
+
+/// Guards the aim against waits of backfilling that add up: until a job may be, while room is held for a gang, for a place
+/// that comes to nothing, and until the next try.
+#[test]
+fn the_waits_of_backfilling_add_up_to_less_than_the_aim() {
+    use crate::coordination::backfill::{BACKFILL_AFTER, GIVEN_UP_AFTER, HOLD, TRIED_AGAIN_AFTER};
+    let longest = BACKFILL_AFTER + HOLD + GIVEN_UP_AFTER + TRIED_AGAIN_AFTER;
+    assert!(longest < AIM, "{longest:?}");
+}
+
+/// Guards jobs of a team whose limit is in use in full: those that ran took each place that became free, and on the
+/// operators' day of limits arrays with nothing running waited for 90 s and more with `not_admitted` beside them, while a
+/// twentieth of the limit was between two tasks or fetched images.
+#[test]
+fn at_a_limit_in_full_use_a_job_that_has_waited_too_long_takes_the_next_place() {
+    for seed in 3_060..3_063 {
+        let mut world = roomy(seed, &RED);
+        world.runs_for = 55 * S..65 * S;
+        let array = |owner, nth| Wanted {
+            owner,
+            nth,
+            shape: Shape::Array,
+            priority: Priority::Normal,
+            tasks: 200,
+            cpus: 2.0,
+            gpus: 0.0,
+        };
+        let first = submit(&mut world, "red", array(0, 0));
+        go(&mut world, Micros::from_secs(8));
+        let others: Vec<String> = (1..9).map(|nth| submit(&mut world, "red", array(nth % 3, nth))).collect();
+        let all_begun = |w: &World| others.iter().all(|id| w.jobs[id].begun > Micros::ZERO);
+        let in_time = until(&mut world, AIM, all_begun);
+        let begun = others.iter().filter(|id| world.jobs[*id].begun > Micros::ZERO).count();
+        assert!(in_time, "seed {seed}: {begun} of 8 begun; {}", world.describe(&first));
+        assert!(world.taken()[0].0 <= 24_000);
+    }
+}
+
 /// Guards a gang that needs more machines than are up within the time after which idle ones are returned: those that were up
 /// first were returned while the last booted, and others rented for them, for ever. Found where the last job of a grown
 /// cluster was a gang of 16: nine machines were up at all times, and 16 on their way, for 230 s.
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -19,7 +19,7 @@
     Service,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
     #[serde(rename = "idle")]
     Low,
