--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,6 +18,8 @@
 mod history;
 #[path = "soak/links.rs"]
 mod links;
+#[path = "soak/ports.rs"]
+mod ports;
 #[path = "soak/rig.rs"]
 mod rig;
 #[path = "soak/run.rs"]
@@ -93,6 +95,9 @@
         f.peak % 10,
         outcome.late_ms
     );
+    if outcome.ports_taken {
+        println!("  its ports were taken: it counts for nothing");
+    }
     for broken in outcome.broken.iter().take(12) {
         println!("  {} at {} ms: {}", broken.rule, broken.at, broken.what);
     }
@@ -143,6 +148,10 @@
         describe(&outcome);
         println!("  {over} of {} played", arguments.seeds);
         stalled += u64::from(outcome.late_ms > run::STALL_MS);
+        if outcome.ports_taken {
+            unmet.push(format!("seed {}: its ports were taken", outcome.seed));
+            continue;
+        }
         for broken in &outcome.broken {
             *rules.entry(broken.rule).or_insert(0u64) += 1;
         }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -15,7 +15,7 @@
 use rand::RngExt;
 use serde_json::{Value, json};
 
-use crate::history::{Amount, History, JobFacts, Ms, Stay};
+use crate::history::{Amount, History, JobFacts, Look, Ms, Room, Stay};
 use crate::rig::Rig;
 
 /// How long a worker waits for the answer to a report, and drops one that comes later.
@@ -231,6 +231,19 @@
         needs.fold(Amount::default(), |a, b| Amount { cpu: a.cpu + b.cpu, gpu: a.gpu + b.gpu })
     }
 
+    /// What is free on each machine that is up at this moment.
+    pub fn look(&self, now: Ms) -> Look {
+        let free = |m: &Machine| {
+            let has = self.kinds.iter().find(|k| k.name == m.kind).map(|k| k.has).unwrap_or_default();
+            let used = self.used(m);
+            let free =
+                Amount { cpu: has.cpu.saturating_sub(used.cpu), gpu: has.gpu.saturating_sub(used.gpu) };
+            Room { machine: m.name.clone(), zone: m.zone.clone(), spot: m.spot, free }
+        };
+        let rooms = self.machines.values().filter(|m| m.up(now)).map(free).collect();
+        Look { at: now, rooms }
+    }
+
     /// Time passes: images arrive, tasks end, leases run out, gangs begin and fail.
     pub fn advance(&mut self, history: &mut History, now: Ms) {
         let (terms, most) = (self.terms, self.runs_at_most);
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -67,6 +67,22 @@
     pub told: Told,
 }
 
+/// What is free on a machine.
+#[derive(Clone, Debug)]
+pub struct Room {
+    pub machine: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Amount,
+}
+
+/// The machines that were up at a moment.
+#[derive(Clone, Debug)]
+pub struct Look {
+    pub at: Ms,
+    pub rooms: Vec<Room>,
+}
+
 /// A run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -80,6 +96,8 @@
     pub answers: Vec<Answer>,
     /// When users first asked to cancel a job.
     pub cancels: BTreeMap<String, Ms>,
+    /// What was free on the machines, from moment to moment.
+    pub looks: Vec<Look>,
     /// Controllers that ended though nobody had ended them.
     pub ended: Vec<String>,
     /// From then on nothing more befalls anybody.
@@ -349,6 +367,23 @@
         fits(&before) && usage.iter().filter(|(at, _)| *at > since).all(|(_, used)| fits(used))
     }
 
+    /// Which machines have had room for a task of a job from a moment on, and how many were up at least.
+    fn rooms_since(&self, facts: &JobFacts, since: Ms) -> String {
+        let fits = |room: &Room| {
+            room.free.cpu >= facts.need.cpu
+                && room.free.gpu >= facts.need.gpu
+                && facts.zone.as_ref().is_none_or(|zone| *zone == room.zone)
+                && (facts.spot || !room.spot)
+        };
+        let looks: Vec<&Look> = self.looks.iter().filter(|look| look.at >= since).collect();
+        let up = looks.iter().map(|look| look.rooms.len()).min().unwrap_or(0);
+        let fitting = looks.iter().map(|look| -> BTreeSet<&str> {
+            look.rooms.iter().filter(|room| fits(room)).map(|room| room.machine.as_str()).collect()
+        });
+        let throughout = fitting.reduce(|all, now| &all & &now).unwrap_or_default();
+        format!("of {up} machines up at least, room in all {} looks on {throughout:?}", looks.len())
+    }
+
     /// Once it is calm each accepted job is answered for, and none waits while its team has room for it.
     fn left_over(&self) -> Vec<Broken> {
         let mut broken = Vec::new();
@@ -370,7 +405,8 @@
         for (job, facts) in self.open_jobs() {
             let there = self.stays.iter().any(|s| s.job == *job && self.end(s) > since);
             if !there && self.has_room_since(facts, since) {
-                let what = format!("{job} has waited since {since} at least: {facts:?}");
+                let rooms = self.rooms_since(facts, since);
+                let what = format!("{job} has waited since {since} at least: {facts:?}; {rooms}");
                 broken.push(Self::broken("neglected", self.over_at, what));
             }
         }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use marblewalk::bookkeeping::records::{self, LeaderRecord};
@@ -16,6 +15,7 @@
 use crate::fleet::{self, Fleet, Kind, STEP_MS, Terms};
 use crate::history::{Amount, Broken, Figures, History, Ms};
 use crate::links::{self, Link};
+use crate::ports;
 use crate::rig::{Address, Rig};
 use crate::schedule::{self, Entry, Fault};
 use crate::users::{self, CalledOff};
@@ -35,6 +35,9 @@
 /// Beyond that the rig's own clock says little of what others could have done in time.
 pub const STALL_MS: Ms = 1_000;
 
+/// How often the room on all machines is noted.
+const LOOK_MS: Ms = 1_000;
+
 /// How long tasks run at most once it is calm.
 const CALM_RUN_MS: Ms = 300;
 
@@ -49,28 +52,12 @@
     pub leaders: usize,
     /// By how much the rig was late at worst.
     pub late_ms: Ms,
+    /// A controller found its port in use: the run says nothing.
+    pub ports_taken: bool,
     pub schedule: Vec<Entry>,
     pub logs: PathBuf,
 }
 
-/// Ports that are given up and taken again lie below those that systems choose for outgoing connections: one of these
-/// would else take a port while its controller is down or its link refuses.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// An address that nobody listens at, and that nobody else is given.
-async fn free_address() -> std::io::Result<String> {
-    let count = PORTS.end - PORTS.start;
-    let first = (std::process::id() % u32::from(count)) as u16;
-    loop {
-        let n = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = format!("127.0.0.1:{}", PORTS.start + (first.wrapping_add(n) % count));
-        if TcpListener::bind(&address).await.is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 fn settings(node: usize, own: &Address, members: &[(usize, String)], cloud: &str, state: &str) -> String {
     let zones = ["east", "west"];
     let mut text = format!(
@@ -124,9 +111,12 @@
 /// Plays a seed. `folder` takes settings and logs.
 pub async fn play(seed: u64, folder: PathBuf) -> std::io::Result<Outcome> {
     std::fs::create_dir_all(&folder)?;
+    let mut claims = Vec::new();
     let mut nodes = Vec::new();
     for _ in 0..NODES {
-        nodes.push(Address { api: free_address().await?, internal: free_address().await? });
+        let (api, internal) = (ports::claim().await?, ports::claim().await?);
+        nodes.push(Address { api: api.address.clone(), internal: internal.address.clone() });
+        claims.extend([api, internal]);
     }
     let (history, fleet) = beginning();
     let rig = Arc::new(Rig::new(seed, nodes, history, fleet));
@@ -143,9 +133,10 @@
         parts.spawn(async move { drop(served.await) });
         let mut members = Vec::new();
         for to in (0..NODES).filter(|to| *to != node) {
-            let address = free_address().await?;
-            members.push((to, address.clone()));
-            ways.push(Link { from: node, to, address });
+            let claim = ports::claim().await?;
+            members.push((to, claim.address.clone()));
+            ways.push(Link { from: node, to, address: claim.address.clone() });
+            claims.push(claim);
         }
         texts.push(settings(node, &rig.nodes[node], &members, &cloud_addr, &state));
     }
@@ -174,12 +165,14 @@
     history.over_at = rig.now();
     let leaders = rig.store.lock().unwrap().written(records::LEADER);
     let (broken, figures) = (history.judge(), history.figures());
-    Ok(Outcome { seed, broken, figures, leaders, late_ms: rig.latest(), schedule, logs: folder })
+    let ports_taken = processes.ports_taken();
+    Ok(Outcome { seed, broken, figures, leaders, late_ms: rig.latest(), ports_taken, schedule, logs: folder })
 }
 
 /// Lets time pass for the workers and the controllers' processes.
 async fn keep(rig: Arc<Rig>, processes: Arc<Processes>) {
     let mut due = rig.now();
+    let mut next_look = due;
     loop {
         rig.note_late(due);
         let now = rig.now();
@@ -187,6 +180,10 @@
             let mut fleet = rig.fleet.lock().unwrap();
             let mut history = rig.history.lock().unwrap();
             fleet.advance(&mut history, now);
+            if now >= next_look {
+                history.looks.push(fleet.look(now));
+                next_look = now + LOOK_MS;
+            }
             history.ended.extend(processes.look(now));
         }
         due = now + STEP_MS;
--- a/tests/soak_judge.rs
+++ b/tests/soak_judge.rs
@@ -4,7 +4,7 @@
 #[path = "soak/history.rs"]
 mod history;
 
-use history::{Amount, Answer, History, JobFacts, Ms, Stay, Told};
+use history::{Amount, Answer, History, JobFacts, Look, Ms, Room, Stay, Told};
 
 fn facts(team: &str, tasks: u32) -> JobFacts {
     JobFacts {
@@ -60,6 +60,7 @@
             told("j-2", 900, 910, Told::Withdrawn),
         ],
         cancels: [("j-2".to_owned(), 690)].into(),
+        looks: Vec::new(),
         ended: Vec::new(),
         calm_from: 2_000,
         over_at: 3_000,
@@ -194,6 +195,28 @@
     assert_eq!(broken(works), Vec::<&str>::new());
 }
 
+/// The message about a job that waits says where there was room for it: seed 40's two jobs left no trace of that.
+#[test]
+fn a_neglected_jobs_message_names_the_machines_that_had_room_all_the_while() {
+    let mut history = sound();
+    history.over_at = 27_500;
+    history.answers.remove(1);
+    history.answers.push(told("j-1", 27_000, 27_010, Told::Live));
+    let room = |machine: &str, gpu| Room {
+        machine: machine.into(),
+        zone: "east".into(),
+        spot: false,
+        free: Amount { cpu: 16_000, gpu },
+    };
+    let look =
+        |at, m2_free| Look { at, rooms: vec![room("m-1", 4_000), room("m-2", m2_free), room("m-3", 0)] };
+    history.looks = vec![look(3_000, 4_000), look(10_000, 0), look(20_000, 4_000)];
+    let broken = history.judge();
+    assert_eq!(broken.len(), 1);
+    let said = "of 3 machines up at least, room in all 3 looks on {\"m-1\"}";
+    assert!(broken[0].what.ends_with(said), "{}", broken[0].what);
+}
+
 #[test]
 fn a_run_without_starts_or_with_a_controller_that_ends_is_found() {
     assert_eq!(broken(|h| h.stays.clear()), ["nothing_ran"]);
