A planned start whose task turns up elsewhere is taken back, and none is sent

Cause: a call with a start was rejected for a newer token, or found no connection, while the answer to a report had brought the same start. When its machine had changed hands the plan was taken back and the task started elsewhere; a planned start was sent even if its task had turned up on another machine since it was planned.

Why the fix works: whatever a controller learns between plan and call takes the plan back, and each start passes one gate where it leaves, which knows all places of its task.

Conclusions that a task is not on a machine are counted by ground and logged.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -7,6 +7,8 @@
 use crate::bookkeeping::records;
 use crate::coordination::knowledge::Proof;
 use crate::coordination::model::{Machine, Pending, TaskOn};
+use crate::coordination::removal::Removal;
+use crate::coordination::start_gate::StartGate;
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
 use crate::protocol::peer::{PeerMessage, StopRequest};
 use crate::protocol::units::Micros;
@@ -204,7 +206,7 @@
                 job.attempt = job.attempt.max(t.attempt);
             }
         }
-        self.set_tasks(&name, seen);
+        self.replace_tasks(&name, seen, Removal::NotReported);
         self.remember_images(&name);
         let Some(machine) = self.machines.get_mut(&name) else { return };
         let noticed = report.notice_s.is_some();
@@ -306,7 +308,7 @@
             })
             .unwrap_or_default();
         let now = self.now;
-        let (settled, in_force) = (self.settled(), self.permits_in_force());
+        let gate = StartGate::new(self.settled(), self.permits_in_force(), &self.jobs);
         let Some(machine) = self.machines.get_mut(name) else {
             return proof.answer(0, orders);
         };
@@ -347,7 +349,7 @@
                 *repeated = Some(tally);
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
-            if t.may_start(settled, in_force).is_some() {
+            if gate.permit(name, id, t, &mut self.counters).is_some() {
                 t.pending = Some(Pending::Sent { session, tally });
                 t.since = now;
                 self.counters.starts += 1;
@@ -393,7 +395,7 @@
         let recent = Micros(self.report_every.0 * 2);
         let overdue = self.latest_report() + OVERDUE;
         let stamp = self.lease.as_ref().map_or(0, |l| l.stamp);
-        let (settled, in_force) = (self.settled(), self.permits_in_force());
+        let gate = StartGate::new(self.settled(), self.permits_in_force(), &self.jobs);
         for (name, m) in &mut self.machines {
             let mine = m.row.node == stamp && m.row.owner == self.settings.member;
             let known = m.session != 0 || !m.resolved;
@@ -424,7 +426,7 @@
                     }
                 }
                 for (id, t) in m.tasks.iter_mut().take(MOST_ORDERS) {
-                    if let Some(permit) = t.may_start(settled, in_force) {
+                    if let Some(permit) = gate.permit(name, id, t, &mut self.counters) {
                         t.pending = Some(Pending::Direct { session, token, permit, repeated: None });
                         t.since = now;
                         self.counters.starts += 1;
@@ -483,6 +485,7 @@
                     if let Some(t) = m.tasks.get_mut(id)
                         && let Some(Pending::Direct { session, permit, repeated, .. }) = t.pending
                     {
+                        self.counters.starts_already_answered += u64::from(repeated.is_some());
                         let answered = |tally| Pending::Sent { session, tally };
                         t.pending = Some(repeated.map_or(Pending::Planned(permit), answered));
                     }
@@ -638,7 +641,7 @@
             self.counters.lapses += 1;
             tracing::info!(machine = name, "silent beyond its lease: its tasks are gone");
             // A planned start has not been sent and can wait for the next session.
-            self.set_tasks(&name, BTreeMap::new());
+            self.replace_tasks(&name, BTreeMap::new(), Removal::LeaseExpired);
             self.ledger.told(&name, &self.life(), true);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.resolved = true;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -22,9 +22,11 @@
 mod precedence;
 mod progress;
 mod quota;
+mod removal;
 mod replica;
 mod rules;
 mod stalls;
+mod start_gate;
 mod takeover;
 mod volume_plan;
 pub mod volumes;
@@ -58,6 +60,7 @@
 
 pub use model::{Job, Machine};
 pub use quota::Breach;
+pub use removal::Removal;
 pub use waiting::WaitReason;
 
 /// Steady clocks of two machines may drift apart by 0.05%; this leaves a margin.
@@ -285,6 +288,10 @@
     /// Takeovers that did not wait for some machine, because all that may be on it was known.
     pub takeovers_listed: u64,
     pub takeovers: u64,
+    /// Direct starts that found no connection while the answer to a report had brought them.
+    pub starts_already_answered: u64,
+    /// Starts that were held back at the last moment, since their tasks might have been on other machines.
+    pub starts_held_back: u64,
     /// Replies that were meant for a former registration of this controller, or a former grant.
     pub replies_misdirected: u64,
     pub store_failures: u64,
@@ -417,6 +424,8 @@
     pub(crate) placing: bool,
     /// Jobs have been taken over and not all machines are accounted for.
     pub(crate) taking_over: bool,
+    /// How often tasks were taken for gone, by what that rested on.
+    pub(crate) removals: BTreeMap<Removal, u64>,
     pub counters: Counters,
     #[cfg(test)]
     pub(crate) careless: bool,
@@ -517,6 +526,7 @@
             place_at: Micros::ZERO,
             placing: false,
             taking_over: false,
+            removals: BTreeMap::new(),
             counters: Counters::default(),
             #[cfg(test)]
             careless: false,
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -1,10 +1,13 @@
 //! The controller's copy of the followed records, and what other controllers say.
 
+use std::collections::BTreeMap;
+
 use marblewalk_recovery::{Announcements, Ledger};
 
 use crate::bookkeeping::blocks::Changes;
 use crate::bookkeeping::records::{self, LeaderRecord, TaskSet};
 use crate::coordination::model::{Job, Machine, TaskOn};
+use crate::coordination::removal::Removal;
 use crate::coordination::{Controller, Phase, rules};
 use crate::protocol::job::JobSpec;
 use crate::protocol::store::{Change, Entry, Json, StoreReply};
@@ -306,7 +309,7 @@
         let any_gone = !changes.gone.is_empty();
         for gone in changes.gone {
             // Its row goes only after the cloud has confirmed that the machine is gone.
-            self.set_tasks(&gone, Default::default());
+            self.replace_tasks(&gone, BTreeMap::new(), Removal::MachineGone);
             self.machines.shift_remove(&gone);
             self.ledger.gone(&gone);
             self.blame.machine_gone(&gone);
@@ -375,7 +378,7 @@
         let mut tasks = machine.tasks.clone();
         tasks.retain(|id, t| !t.planned() || !which(id));
         if tasks.len() < machine.tasks.len() {
-            self.set_tasks(name, tasks);
+            self.replace_tasks(name, tasks, Removal::NeverSent);
         }
     }
 
@@ -451,9 +454,19 @@
         machine.row.node == stamp && machine.row.owner == self.settings.member
     }
 
-    /// Replaces what is known of the tasks on a machine, keeping the jobs' index in step.
-    pub(super) fn set_tasks(&mut self, name: &str, tasks: std::collections::BTreeMap<TaskId, TaskOn>) {
-        let Some(machine) = self.machines.get_mut(name) else { return };
+    /// Replaces what is known of the tasks on a machine. `ground`: why those that are missing are taken for gone.
+    pub(super) fn replace_tasks(&mut self, name: &str, tasks: BTreeMap<TaskId, TaskOn>, ground: Removal) {
+        let before = self.set_tasks(name, tasks);
+        self.note_removals(name, &before, ground);
+    }
+
+    /// Sets the tasks of a machine, keeping the jobs' index in step, and returns the former ones.
+    pub(super) fn set_tasks(
+        &mut self,
+        name: &str,
+        tasks: BTreeMap<TaskId, TaskOn>,
+    ) -> BTreeMap<TaskId, TaskOn> {
+        let Some(machine) = self.machines.get_mut(name) else { return BTreeMap::new() };
         let before = std::mem::replace(&mut machine.tasks, tasks);
         let after = &machine.tasks;
         let was_ended = |id: &TaskId| before.get(id).is_some_and(TaskOn::ended);
@@ -474,9 +487,13 @@
                 }
             }
         }
+        let mut duplicates: Vec<TaskId> = Vec::new();
         for id in after.keys().filter(|id| !before.contains_key(*id)) {
             if let Some(job) = self.jobs.get_mut(&id.job).or_else(|| self.retired.get_mut(&id.job)) {
                 job.put_on(id.index, name);
+                if job.on[&id.index].len() > 1 {
+                    duplicates.push(id.clone());
+                }
             } else if let Some(places) = self.strangers.get_mut(&id.job) {
                 places.insert(name.to_owned());
             } else {
@@ -488,6 +505,8 @@
                 job.note_ended(id.index, name, ended);
             }
         }
+        self.withdraw_duplicates(&duplicates);
+        before
     }
 
     pub(super) fn need_of(&self, job: &str) -> Resources {
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -31,6 +31,7 @@
 mod quota_guard;
 mod returns;
 mod rules;
+mod second_starts;
 mod services;
 mod spells;
 mod store;
--- a/src/coordination/simulation/meetings_machines.rs
+++ b/src/coordination/simulation/meetings_machines.rs
@@ -479,7 +479,7 @@
 }
 
 /// A controller, one of its machines, and a task whose start is on its way straight to the machine.
-fn starting(seed: u64) -> (World, usize, String, TaskId) {
+pub(super) fn starting(seed: u64) -> (World, usize, String, TaskId) {
     let mut world = full(seed, 12);
     world.trouble.held_up = 1.0;
     let until = world.now + Micros::from_secs(20);
@@ -501,7 +501,7 @@
 }
 
 /// The machine's next report comes, with this said of a task; the orders that answer it.
-fn orders(world: &mut World, n: usize, name: &str, with: Option<ReportedTask>) -> Vec<Order> {
+pub(super) fn orders(world: &mut World, n: usize, name: &str, with: Option<ReportedTask>) -> Vec<Order> {
     let (now, clock) = (world.now, world.clock(n));
     let w = world.workers.get_mut(name).unwrap();
     w.tally += 1;
--- /dev/null
+++ b/src/coordination/simulation/second_starts.rs
@@ -0,0 +1,124 @@
+//! Starts that could be made a second time elsewhere. Guards against the known failure `ran_twice` on selatferi-hq-hunt, day
+//! apart: a task ran on one machine and was started on another.
+
+use super::meetings_machines::{orders, starting};
+use super::*;
+use crate::coordination::model::{Machine, Pending};
+use crate::protocol::worker::DirectOrders;
+
+/// Another controller than the one that starts a task, and the one that leads.
+fn other_than(world: &World, n: usize) -> usize {
+    (0..3).find(|other| *other != n && world.controllers[*other].is_some()).unwrap()
+}
+
+/// The leader's next grant moves this machine to a controller.
+fn grant_to(world: &mut World, machine: &str, to: usize) {
+    let until = world.now + Micros::from_secs(5);
+    loop {
+        let leader = world.leader().unwrap();
+        let c = world.controllers[leader].as_mut().unwrap();
+        let moves = [(machine.to_owned(), format!("n-{to}"))].into();
+        if c.grant(moves, Vec::new(), BTreeSet::new(), None) {
+            return world.tell(leader, Event::Tick);
+        }
+        assert!(world.now < until, "nothing can be granted");
+        world.run(world.now + Micros::from_millis(1));
+    }
+}
+
+/// Guards against `ran_twice`: a machine's new holder had fenced it when a start was called there, so that the call was
+/// rejected, while the answer to a report had brought the same start before. The start was taken for one that had never
+/// been sent and made elsewhere, before the new holder had told that the task was there.
+#[test]
+fn a_start_that_is_rejected_after_an_answer_brought_it_is_made_nowhere_else() {
+    let mut there = 0;
+    for seed in 500..520 {
+        let (mut world, n, name, id) = starting(seed);
+        world.trouble.held_up = 0.0;
+        world.runs_for = 20 * S..30 * S;
+        let starts = orders(&mut world, n, &name, None);
+        let c = world.controllers[n].as_ref().unwrap();
+        let (token, session) = (c.machines[&name].row.token, c.machines[&name].session);
+        let sent = world.now;
+        world.execute(&name, DirectOrders { token, session, orders: starts }, sent);
+        let to = other_than(&world, n);
+        // The call is still under way when the new holder's token is at the machine.
+        grant_to(&mut world, &name, to);
+        let until = world.now + Micros::from_secs(5);
+        while world.workers[&name].token == token && world.now < until {
+            world.run(world.now + Micros::from_millis(1));
+        }
+        let report = world.workers[&name].report(&name, world.now);
+        there += u32::from(world.workers[&name].tasks.contains_key(&id));
+        let rejected = DirectReply::Rejected(Box::new(report));
+        world.tell(n, Event::Worker { machine: name.clone(), token, reply: rejected });
+        // The judge of the rules sees each start.
+        world.run(world.now + Micros::from_secs(15));
+    }
+    assert!(there >= 15, "only {there} of 20 tasks were there");
+}
+
+/// A controller and one of its planned starts that has not been sent, with its machine.
+fn planned(world: &mut World) -> (usize, String, TaskId) {
+    let until = world.now + Micros::from_secs(20);
+    while world.now < until {
+        world.run(world.now + Micros::from_millis(1));
+        let planned = |m: &Machine| {
+            let mut tasks = m.tasks.iter();
+            tasks.find(|(_, t)| matches!(t.pending, Some(Pending::Planned(_)))).map(|(id, _)| id.clone())
+        };
+        let found = world.controllers.iter().enumerate().find_map(|(n, c)| {
+            let c = c.as_ref()?;
+            c.machines
+                .iter()
+                .filter(|(_, m)| c.owns(m))
+                .find_map(|(name, m)| Some((n, name.clone(), planned(m)?)))
+        });
+        if let Some(found) = found {
+            return found;
+        }
+    }
+    panic!("nothing was planned");
+}
+
+/// Guards against `ran_twice`: what another holder says of a task after its start was planned here, and before it is sent,
+/// takes the plan back.
+#[test]
+fn a_planned_start_is_taken_back_when_its_task_turns_up_elsewhere() {
+    for seed in 520..524 {
+        let mut world = super::meetings::full(seed, 12);
+        let (n, name, id) = planned(&mut world);
+        let held = |c: &Controller| {
+            let known = c.machines.iter().find(|(_, m)| c.owns(m) && m.resolved);
+            known.map(|(machine, m)| (machine.clone(), c.word(m)))
+        };
+        let mut others =
+            (0..3).filter(|other| *other != n).filter_map(|other| world.controllers[other].as_ref());
+        let (holder, (machine, mut word)) = others.find_map(|c| Some((c, held(c)?))).unwrap();
+        word.tasks.push(crate::protocol::peer::TaskStatus {
+            task: id.clone(),
+            attempt: 1,
+            state: TaskState::Running,
+            cause: None,
+        });
+        let from = holder.me().to_owned();
+        let status = holder.peers.values().find_map(|p| p.status.clone()).unwrap();
+        let status = crate::protocol::peer::Status {
+            stamp: holder.life().1,
+            sequence: holder.status_sequence + 1,
+            machines: vec![word],
+            over: Vec::new(),
+            tallies: Vec::new(),
+            stops: Vec::new(),
+            ..status
+        };
+        let c = world.controllers[n].as_ref().unwrap();
+        assert_eq!(c.machines[&machine].row.token, status.machines[0].token, "seed {seed}: moved meanwhile");
+        world.tell(n, Event::Peer(from, PeerMessage::Status(status)));
+        let c = world.controllers[n].as_ref().unwrap();
+        let still = c.machines[&name].tasks.get(&id);
+        assert!(still.is_none(), "seed {seed}: {id:?} stays planned on {name}, and may run on {machine}");
+        assert_eq!(c.jobs[&id.job].on[&id.index], [machine], "seed {seed}");
+        assert_eq!(c.counters.starts_held_back, 0, "seed {seed}: it came to be sent");
+    }
+}
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -10,6 +10,7 @@
 use marblewalk_recovery::Hearing;
 
 use crate::coordination::model::{Machine, TaskOn};
+use crate::coordination::removal::Removal;
 use crate::coordination::{Controller, Effect, Peer, Phase};
 use crate::protocol::peer::{MachineStatus, PeerMessage, Status, Tally, TaskStatus};
 use crate::protocol::units::Micros;
@@ -349,7 +350,7 @@
                 seen.entry(id.clone()).or_insert_with(|| t.clone());
             }
         }
-        self.set_tasks(&told.machine, seen);
+        self.replace_tasks(&told.machine, seen, Removal::HolderSaid);
         self.remember_images(&told.machine);
         if let Some(machine) = self.machines.get_mut(&told.machine) {
             machine.resolved = told.resolved;
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -13,7 +13,7 @@
 use super::server::{self, Shared};
 use super::workers;
 use crate::bookkeeping::client as store;
-use crate::coordination::{Answer, Breach, Controller, Effect, Event, RequestId};
+use crate::coordination::{Answer, Breach, Controller, Effect, Event, Removal, RequestId};
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::units::Micros;
 use crate::settings::{Settings, Tuning};
@@ -127,7 +127,7 @@
 fn describe(c: &Controller) -> String {
     let (held, known) = c.machine_counts();
     let n = &c.counters;
-    let rows: [(&str, u64); 37] = [
+    let rows: [(&str, u64); 39] = [
         ("healthy", c.healthy().into()),
         ("entitled", c.entitled().into()),
         ("leading", c.leading().into()),
@@ -162,6 +162,8 @@
         ("confirmations_owed", c.confirmations_owed().into()),
         ("ends_unsettled", c.ends_unsettled() as u64),
         ("records_unread", c.records_unread() as u64),
+        ("direct_starts_already_answered_total", n.starts_already_answered),
+        ("starts_held_back_total", n.starts_held_back),
         ("replies_misdirected_total", n.replies_misdirected),
         ("store_failures_total", n.store_failures),
         ("cloud_failures_total", n.cloud_failures),
@@ -185,6 +187,10 @@
         let count = c.quota_breaches(breach);
         text += &format!("marblewalk_quota_breaches_total{{rule=\"{}\"}} {count}\n", breach.name());
     }
+    for ground in Removal::all() {
+        let count = c.removals(ground);
+        text += &format!("marblewalk_tasks_taken_for_gone_total{{ground=\"{}\"}} {count}\n", ground.name());
+    }
     for (share, oldest) in c.pool_shares() {
         let labels = format!(
             "team=\"{}\",class=\"{}\",rank=\"{}\"",
