A gang is backfilled however many jobs of other teams are

Cause: no gang was backfilled while 64 jobs were, whoever's they were.

Test: a_gang_that_fits_is_backfilled_however_many_jobs_of_another_team_are; on it fails: "99 backfilled", none a gang.

Why the fix works: only jobs of the gang's own team count, and of these only those that are not in line for a place of a running array. In a deployment with one team and no limit nothing changes.

--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -40,7 +40,7 @@
 /// A job that has been backfilled and found no place within this time gives the room up, and is tried again later.
 pub(super) const GIVEN_UP_AFTER: Micros = Micros::from_secs(20);
 pub(super) const TRIED_AGAIN_AFTER: Micros = Micros::from_secs(10);
-/// Beside so many backfilled jobs no further gangs are: they would take what is left for gangs in turn.
+/// Beside so many backfilled jobs of a team none of its gangs are: they would take what is left for gangs in turn.
 const MOST_BESIDE_GANGS: usize = 64;
 /// The most searches among the machines in a round that find no place. The next round goes on behind the last of them.
 const MOST_VAIN_SEARCHES: usize = 100;
@@ -131,12 +131,14 @@
         let holds = self.now.since(lead.since).0 % CYCLE.0 < HOLD.0;
         let mut idle = self.idle(volumes);
         let mut line = self.part_for_overdue(backfill);
+        let mut beside_gangs = self.backfilled_beside_gangs(backfill);
         let mut held_teams = BTreeSet::new();
         let mut in_vain: HashSet<Wanted> = HashSet::new();
         for id in waiting {
             let Some(job) = self.jobs.get(id.as_str()) else { continue };
             let (tasks, need) = unit(job);
-            let crowded = tasks > 1 && backfill.named.len() >= MOST_BESIDE_GANGS;
+            let beside = beside_gangs.get(job.spec.team.as_str()).copied().unwrap_or(0);
+            let crowded = tasks > 1 && beside >= MOST_BESIDE_GANGS;
             if crowded || held_teams.contains(&job.spec.team) {
                 continue;
             }
@@ -165,6 +167,8 @@
             }
             if in_line {
                 line.take(&job.spec, need);
+            } else {
+                *beside_gangs.entry(job.spec.team.as_str()).or_default() += 1;
             }
             idle.take(&job.spec, need);
             tracing::debug!(job = id.as_str(), tasks, in_line, "backfilled");
@@ -174,6 +178,17 @@
         backfill.resume_behind = None;
     }
 
+    /// How many jobs of each team are backfilled into room that a gang of the team could have. Those in line take places
+    /// of running arrays, and other teams' jobs nothing of its limit.
+    fn backfilled_beside_gangs(&self, backfill: &Backfill) -> HashMap<&str, usize> {
+        let mut counts = HashMap::new();
+        let beside = backfill.named.iter().filter(|(_, named)| !named.in_line);
+        for job in beside.filter_map(|(id, _)| self.jobs.get(id.as_str())) {
+            *counts.entry(job.spec.team.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Jobs that have been backfilled stay so until what they started with has ended, or found no place.
     fn keep_backfilled(&self, backfill: &mut Backfill, volumes: &mut Vec<Volume>) {
         let now = self.now;
--- a/src/coordination/simulation/neglect.rs
+++ b/src/coordination/simulation/neglect.rs
@@ -235,6 +235,36 @@
     assert_eq!((waiting, volumes.len()), (99, 99));
 }
 
+/// Guards gangs of a team against `maapoue-limits`' neglect at a limit in full use: while 64 jobs of another team were
+/// backfilled, no gang was, though its own team's limit and the machines had room for it (`crowded` for 70 s of calm).
+#[test]
+fn a_gang_that_fits_is_backfilled_however_many_jobs_of_another_team_are() {
+    let mut world = roomy(3_080, &[("red", 1.0, 0.0), ("green", 8.0, 0.0)]);
+    let job = |nth, shape, tasks, cpus| Wanted {
+        owner: nth % 3,
+        nth,
+        shape,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+    };
+    world.runs_for = 500 * S..600 * S;
+    submit(&mut world, "green", job(200, Shape::Array, 200, 8.0));
+    for nth in 0..100 {
+        submit(&mut world, "red", job(nth, Shape::Array, 1, 1.0));
+    }
+    go(&mut world, Micros::from_secs(20));
+    let gang = submit(&mut world, "green", job(201, Shape::Gang, 4, 2.0));
+    go(&mut world, Micros::from_secs(60));
+    let leader = world.leader().unwrap();
+    let leader = world.controllers[leader].as_mut().unwrap();
+    leader.settings.params.teams.iter_mut().for_each(|team| team.cpus_max = 0.0);
+    let mut volumes = Vec::new();
+    leader.backfill(&mut volumes);
+    assert!(volumes.len() > 64 && volumes.iter().any(|v| v.job == gang), "{} backfilled", volumes.len());
+}
+
 /// Guards the aim against waits of backfilling that add up: until a job may be, while room is held for a gang, for a place
 /// that comes to nothing, and until the next try.
 #[test]
