Backfilling leaves the order of the leader's volumes, and works out the cards once a round

lower_for_those_in_line sorted its caller's list in place, so that whoever came after saw another order; it goes through them by an index now. take_places looked at all machines and jobs for each search for what a round needs once.

--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -130,6 +130,7 @@
         let Some(lead) = &self.lead else { return };
         let holds = self.now.since(lead.since).0 % CYCLE.0 < HOLD.0;
         let mut idle = self.idle(volumes);
+        let cards = self.cards(self.machines.values().filter(|m| self.serving(m)));
         let mut line = self.part_for_overdue(backfill);
         let mut beside_gangs = self.backfilled_beside_gangs(backfill);
         let mut held_teams = BTreeSet::new();
@@ -154,7 +155,7 @@
             if in_vain.contains(&wanted) {
                 continue;
             }
-            if !self.take_places(&mut idle.machines, &job.spec, u64::from(tasks)) {
+            if !self.take_places(&mut idle.machines, cards, &job.spec, u64::from(tasks)) {
                 if holds && job.is_gang() {
                     self.hold_places(&mut idle.machines, &job.spec);
                 }
@@ -314,8 +315,11 @@
         if wanted.is_empty() {
             return;
         }
-        volumes.sort_by_key(|v| std::cmp::Reverse(v.tasks));
-        for volume in volumes.iter_mut().filter(|v| v.turn != Turn::Backfill && v.tasks > 1) {
+        let lowers = |v: &Volume| v.turn != Turn::Backfill && v.tasks > 1;
+        let mut largest_first: Vec<usize> = (0..volumes.len()).filter(|n| lowers(&volumes[*n])).collect();
+        largest_first.sort_by_key(|n| std::cmp::Reverse(volumes[*n].tasks));
+        for n in largest_first {
+            let volume = &mut volumes[n];
             let Some(job) = self.jobs.get(&volume.job) else { continue };
             let Some(wanted) = wanted.get_mut(job.spec.team.as_str()) else { continue };
             if job.spec.shape != Shape::Array || job.placed() == 0 {
@@ -362,8 +366,13 @@
     }
 
     /// Takes room for so many tasks of a job, wherever the machines are held; whether there is.
-    fn take_places(&self, rooms: &mut BTreeMap<String, Resources>, spec: &JobSpec, tasks: u64) -> bool {
-        let cards = self.cards(self.machines.values().filter(|m| self.serving(m)));
+    fn take_places(
+        &self,
+        rooms: &mut BTreeMap<String, Resources>,
+        cards: Cards,
+        spec: &JobSpec,
+        tasks: u64,
+    ) -> bool {
         let cards = cards.after(self.waited(&spec.id));
         let closed = HeldBack::from(self, &self.reserved, spec);
         let mut zones: BTreeMap<&str, Vec<(String, u64)>> = BTreeMap::new();
