--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -10,6 +10,7 @@
 mod fleets;
 mod former_lives;
 mod idle;
+mod late_statuses;
 mod limits;
 mod looks;
 mod measure;
