Statuses have a place in their sender's order, and one that is late is dropped; a whole status to one settles no end for others

Cause, one for both: a whole status to a single controller had the number of the last status to all, so that two different messages stood under one number. Ledger::heard took every whole status as complete whatever its number, and an end told to one controller counted as told to whoever had confirmed that number.

Why it works: a status carries its number and how many to single controllers have followed it; Ledger::is_newest drops what is not newer than all that came from that registration, for machines, tallies, stops and usage alike. A status to one marks no end as told. statuses_outdated_total counts what is dropped.

--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::Life;
+use crate::{Life, Position};
 
 /// What a numbered message is to its receiver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,8 @@
 /// What has been heard from one life of another controller.
 #[derive(Debug, Default)]
 struct Chain {
+    /// The newest message that came from it.
+    newest: Position,
     number: u64,
     unbroken: bool,
     /// Up to which revision it had followed the records when it last spoke.
@@ -78,6 +80,15 @@
         self.since = revision;
     }
 
+    /// Whether a message is newer than all that have come from its sender. One that is not must be dropped: it may lack
+    /// what has been announced since, and would be taken for proof that this is not so.
+    pub fn is_newest(&mut self, from: &Life, position: Position) -> bool {
+        let chain = self.chains.entry(from.clone()).or_default();
+        let newest = position > chain.newest;
+        chain.newest = chain.newest.max(position);
+        newest
+    }
+
     /// A message with this number has come. `whole`: it tells of all the sender's machines.
     pub fn heard(&mut self, from: &Life, number: u64, whole: bool, applied: u64) -> Hearing {
         let chain = self.chains.entry(from.clone()).or_default();
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -16,10 +16,12 @@
 mod announcements;
 mod inquiry;
 mod ledger;
+mod position;
 
 pub use announcements::Announcements;
 pub use inquiry::{Inquiry, Question};
 pub use ledger::{Hearing, Ledger};
+pub use position::Position;
 
 /// A controller in one of its lives: its name, and the stamp of its registration.
 pub type Life = (String, u64);
--- a/src/coordination/finals.rs
+++ b/src/coordination/finals.rs
@@ -10,6 +10,8 @@
 //! read of it acts no more (`knowledge.rs`). That a job is done waits for the others as well, but no longer than a
 //! second: no rule hangs on it but that no controller may give an older answer.
 
+use std::collections::BTreeSet;
+
 use indexmap::IndexMap;
 
 use crate::bookkeeping::budget::Urgency;
@@ -190,43 +192,44 @@
             if s.tell { s.told_in == 0 || !self.known_to_all(s.revision, None) } else { !self.end_settled(s) }
         });
         let due = |s: &Spreading| s.tell && (regular || s.told_in == 0);
-        let told = self.take_told(&mut spreading, due);
+        let chosen = choose(&spreading, due);
+        self.mark_told(&mut spreading, &chosen);
+        let told = ended(&spreading, &chosen);
         self.spreading = spreading;
         told
     }
 
-    /// All ends that this controller tells, for one who may have missed some: taken in, this status proves that all
-    /// before it were. Whatever does not fit is told anew.
+    /// All ends that this controller tells, for a status to all: taken in, it proves that all before it were. Whatever
+    /// does not fit is told anew.
     pub(super) fn all_ends(&mut self) -> Vec<Ended> {
         let mut spreading = std::mem::take(&mut self.spreading);
-        let told = self.take_told(&mut spreading, |s| s.tell);
-        let left = spreading.values_mut().filter(|s| s.tell && s.told_in < self.status_sequence);
-        left.for_each(|s| s.told_in = 0);
+        let chosen = choose(&spreading, |s| s.tell);
+        tell_others_anew(&mut spreading, &chosen);
+        self.mark_told(&mut spreading, &chosen);
+        let told = ended(&spreading, &chosen);
         self.spreading = spreading;
         told
     }
 
-    /// Some users wait until the others have confirmed what they are told.
-    pub(super) fn ends_owed(&self) -> bool {
-        self.spreading.values().any(|s| s.tell && s.state == Final::Withdrawn && !self.end_settled(s))
+    /// The same for a status to a single controller. It says nothing to the others, who may have confirmed its number: they
+    /// are still to be told what none of them has been.
+    pub(super) fn all_ends_for_one(&mut self) -> Vec<Ended> {
+        let chosen = choose(&self.spreading, |s| s.tell);
+        tell_others_anew(&mut self.spreading, &chosen);
+        ended(&self.spreading, &chosen)
     }
 
-    fn take_told(
-        &self,
-        spreading: &mut IndexMap<String, Spreading>,
-        due: impl Fn(&Spreading) -> bool,
-    ) -> Vec<Ended> {
-        let mut due: Vec<(&String, &mut Spreading)> = spreading.iter_mut().filter(|(_, s)| due(s)).collect();
-        // Those told longest ago first.
-        due.sort_by_key(|(_, s)| s.told_in);
-        let tell = due.into_iter().take(MOST_TOLD);
-        let mut told = Vec::new();
-        for (id, s) in tell {
-            s.told_in = self.status_sequence;
-            let (state, tasks, revision) = (s.state, s.tasks, s.revision);
-            told.push(Ended { job: id.clone(), state, tasks, revision });
+    fn mark_told(&self, spreading: &mut IndexMap<String, Spreading>, chosen: &[String]) {
+        for id in chosen {
+            if let Some(end) = spreading.get_mut(id) {
+                end.told_in = self.status_sequence;
+            }
         }
-        told
+    }
+
+    /// Some users wait until the others have confirmed what they are told.
+    pub(super) fn ends_owed(&self) -> bool {
+        self.spreading.values().any(|s| s.tell && s.state == Final::Withdrawn && !self.end_settled(s))
     }
 
     /// Another controller has taken in this one's statuses up to this number.
@@ -281,3 +284,29 @@
     let done = if state == Final::Done { tasks } else { 0 };
     Answer::Job { created: false, id: id.to_owned(), state: JobState::Final(state), done, running: 0 }
 }
+
+/// The ends that are due, as many as a status holds: those told longest ago.
+fn choose(spreading: &IndexMap<String, Spreading>, due: impl Fn(&Spreading) -> bool) -> Vec<String> {
+    let mut due: Vec<(&String, &Spreading)> = spreading.iter().filter(|(_, end)| due(end)).collect();
+    due.sort_by_key(|(_, end)| end.told_in);
+    due.into_iter().take(MOST_TOLD).map(|(id, _)| id.clone()).collect()
+}
+
+/// Ends that a status which tells all has no room for are told anew.
+fn tell_others_anew(spreading: &mut IndexMap<String, Spreading>, chosen: &[String]) {
+    let chosen: BTreeSet<&String> = chosen.iter().collect();
+    let left = spreading.iter_mut().filter(|(id, end)| end.tell && !chosen.contains(id));
+    left.for_each(|(_, end)| end.told_in = 0);
+}
+
+/// Ends as a status tells them.
+fn ended(spreading: &IndexMap<String, Spreading>, chosen: &[String]) -> Vec<Ended> {
+    let ends = chosen.iter().filter_map(|id| Some((id, spreading.get(id)?)));
+    ends.map(|(id, end)| Ended {
+        job: id.clone(),
+        state: end.state,
+        tasks: end.tasks,
+        revision: end.revision,
+    })
+    .collect()
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -297,6 +297,8 @@
     pub starts_held_back: u64,
     /// Replies that were meant for a former registration of this controller, or a former grant.
     pub replies_misdirected: u64,
+    /// Statuses that came after newer ones of the same sender, and were dropped.
+    pub statuses_outdated: u64,
     pub store_failures: u64,
     pub cloud_failures: u64,
 }
@@ -418,6 +420,8 @@
     pub(crate) status_sent: Micros,
     pub(crate) announced_at: Micros,
     pub(crate) status_sequence: u64,
+    /// Statuses to single controllers since the last one to all.
+    pub(crate) statuses_to_single: u32,
     /// What the others have been told of this controller's machines, and how far these were read.
     pub(crate) told: FxHashMap<String, (MachineStatus, (u64, u64))>,
     pub(crate) flush_at: Micros,
@@ -523,6 +527,7 @@
             status_sent: Micros::ZERO,
             announced_at: Micros::ZERO,
             status_sequence: 0,
+            statuses_to_single: 0,
             told: FxHashMap::default(),
             flush_at: Micros::ZERO,
             place_due: false,
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -50,6 +50,7 @@
         }
         let whole = self.told.is_empty();
         self.status_sequence += 1;
+        self.statuses_to_single = 0;
         let (machines, tallies) = self.changed_words(regular);
         let over = if whole { self.all_ends() } else { self.ends_to_tell(regular) };
         let confirm = self.mark_announced() || self.announcements.owed() || self.ends_owed();
@@ -64,13 +65,14 @@
 
     /// All words, for one who has missed some. What has changed meanwhile comes again with the next.
     fn tell_all(&mut self, to: String) {
+        self.statuses_to_single += 1;
         let machines: Vec<MachineStatus> =
             self.machines.values().filter(|m| self.owns(m)).map(|m| self.word(m)).collect();
         let held = self.machines.values().filter(|m| self.owns(m));
         let tallies =
             held.map(|m| Tally { machine: m.row.machine.clone(), session: m.session, tally: m.tally });
         let tallies = tallies.collect();
-        let over = self.all_ends();
+        let over = self.all_ends_for_one();
         let status = Status { whole: true, machines, tallies, over, ..self.bare_status() };
         self.effects.push(Effect::Send(Some(to), PeerMessage::Status(status)));
     }
@@ -176,6 +178,7 @@
     fn bare_status(&mut self) -> Status {
         Status {
             sequence: self.status_sequence,
+            single: self.statuses_to_single,
             whole: false,
             confirm: false,
             cleared: self.announcements.cleared(),
@@ -236,6 +239,11 @@
         if self.nodes.get(&from) != Some(&status.stamp) {
             return;
         }
+        let life = (from.clone(), status.stamp);
+        if !self.ledger.is_newest(&life, status.position()) {
+            self.counters.statuses_outdated += 1;
+            return;
+        }
         let (now, clock) = (self.now, status.clock);
         let here = |at: &mut Option<Micros>| *at = at.map(|at| now.since(clock.since(at)));
         let mut words = std::mem::take(&mut status.machines);
@@ -254,7 +262,6 @@
         if before.is_none() || status.whole {
             peer.words.clear();
         }
-        let life = (from.clone(), status.stamp);
         let hearing = self.ledger.heard(&life, status.sequence, status.whole, status.applied);
         let reply = match hearing {
             Hearing::Complete if status.confirm || status.whole => {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -3,6 +3,7 @@
 use bitcode::{Decode, Encode};
 use marblewalk_admission::plan::{Plan, Word};
 use marblewalk_admission::pool::Turn;
+use marblewalk_recovery::Position;
 
 use super::job::Final;
 use super::units::Micros;
@@ -70,8 +71,10 @@
 /// the message before it: whoever has missed one asks for all.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Status {
-    /// Counts the sender's messages in its present life.
+    /// Counts the sender's statuses to all, in its present life.
     pub sequence: u64,
+    /// How many statuses to single controllers have followed the last one to all: those have its number too.
+    pub single: u32,
     /// `machines` holds all of the sender's.
     pub whole: bool,
     /// It announces starts that wait for the receiver's confirmation.
@@ -103,6 +106,13 @@
     pub deserted: Vec<String>,
 }
 
+impl Status {
+    /// Its place among all statuses that the sender has made under its registration.
+    pub fn position(&self) -> Position {
+        Position { number: self.sequence, single: self.single }
+    }
+}
+
 /// How many tasks an admitted job may have at a time, and when its turn comes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Volume {
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -127,7 +127,7 @@
 fn describe(c: &Controller) -> String {
     let (held, known) = c.machine_counts();
     let n = &c.counters;
-    let rows: [(&str, u64); 39] = [
+    let rows: [(&str, u64); 40] = [
         ("healthy", c.healthy().into()),
         ("entitled", c.entitled().into()),
         ("leading", c.leading().into()),
@@ -165,6 +165,7 @@
         ("direct_starts_already_answered_total", n.starts_already_answered),
         ("starts_held_back_total", n.starts_held_back),
         ("replies_misdirected_total", n.replies_misdirected),
+        ("statuses_outdated_total", n.statuses_outdated),
         ("store_failures_total", n.store_failures),
         ("cloud_failures_total", n.cloud_failures),
     ];
