--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -30,6 +30,8 @@
 mod store;
 #[path = "soak/users.rs"]
 mod users;
+#[path = "soak/worker.rs"]
+mod worker;
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
--- a/tests/soak/cloud.rs
+++ b/tests/soak/cloud.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet;
 use crate::rig::Rig;
+use crate::worker;
 
 /// How long a new machine is missing in the list.
 const LAG_MS: u64 = 800;
@@ -64,9 +65,9 @@
         let spot = body["Standby"].as_bool().unwrap_or(false);
         let now = rig.now();
         let name = rig.fleet.lock().unwrap().add(now, &kind, &zone, spot, addr.to_string(), boots);
-        let own = fleet::router(rig.clone(), name.clone());
+        let own = worker::router(rig.clone(), name.clone());
         tokio::spawn(async move { axum::serve(listener, own).await });
-        tokio::spawn(fleet::work(rig.clone(), name.clone()));
+        tokio::spawn(worker::work(rig.clone(), name.clone()));
         names.push(name);
     }
     rig.fleet.lock().unwrap().charters.insert(charter, names.clone());
