One module decides whether a start may still arrive, with a search through every order of its messages

No change of behaviour. Pending moves out of model.rs; what a failed call, an answer and a worker's message prove of a start stood in three places of machines.rs and stands in pending.rs now.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::records;
 use crate::coordination::knowledge::Proof;
 use crate::coordination::model::{Machine, Pending, TaskOn};
+use crate::coordination::pending::Heard;
 use crate::coordination::removal::Removal;
 use crate::coordination::start_gate::StartGate;
 use crate::coordination::{Answer, Controller, DRIFT, Effect, Phase, RequestId, SLACK};
@@ -112,7 +113,7 @@
         };
         let ordered = |id: &TaskId, attempt: u64| {
             let known = machine.tasks.get(id).filter(|t| t.attempt == attempt);
-            known.is_some_and(|t| matches!(t.pending, Some(Pending::Sent { .. } | Pending::Direct { .. })))
+            known.is_some_and(|t| t.pending.is_some_and(Pending::sent))
         };
         let mut tasks = report.tasks.iter().filter_map(|t| Some((TaskId::parse(&t.task)?, t.attempt)));
         let start = tasks.any(|(id, attempt)| ordered(&id, attempt));
@@ -182,20 +183,10 @@
             };
             seen.insert(id, on);
         }
-        // A start not yet sent stays planned. One sent in an earlier answer that a report does not
-        // show will not happen any more: the worker has one report in flight and drops answers of
-        // earlier ones. (Its reply to direct orders may overtake such an answer.) One sent directly
-        // may arrive as long as the worker has seen no newer token and begun no newer session.
+        // A start that the message does not show may still be made by what is on its way.
+        let heard = Heard { session: report.session, token: report.token, direct };
         for (id, t) in &machine.tasks {
-            let may_come = match t.pending {
-                Some(Pending::Planned(_)) => true,
-                Some(Pending::Sent { session, .. }) => direct && session == report.session,
-                Some(Pending::Direct { session, token, .. }) => {
-                    session == report.session && report.token <= token
-                }
-                None => false,
-            };
-            if may_come || !fenced {
+            if !fenced || t.pending.is_some_and(|pending| pending.may_arrive(heard)) {
                 seen.entry(id.clone()).or_insert_with(|| t.clone());
             }
         }
@@ -340,13 +331,11 @@
             if orders.len() >= MOST_ORDERS {
                 break;
             }
-            // Repeated: without effect where it has arrived. Not under a newer token than it was sent with:
-            // a reply to that token may show that it never arrived while this answer is on its way.
-            if let Some(Pending::Direct { token, repeated, .. }) = &mut t.pending
-                && *token == machine.row.token
-                && t.stop.is_none()
+            // Repeated: without effect where it has arrived.
+            if t.stop.is_none()
+                && let Some(pending) = &mut t.pending
+                && pending.repeat(tally, machine.row.token)
             {
-                *repeated = Some(tally);
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
             if gate.permit(name, id, t, &mut self.counters).is_some() {
@@ -483,11 +472,10 @@
                 // earlier call started is not among them: it may be there.
                 for id in &starting {
                     if let Some(t) = m.tasks.get_mut(id)
-                        && let Some(Pending::Direct { session, permit, repeated, .. }) = t.pending
+                        && let Some(pending) = t.pending
                     {
-                        self.counters.starts_already_answered += u64::from(repeated.is_some());
-                        let answered = |tally| Pending::Sent { session, tally };
-                        t.pending = Some(repeated.map_or(Pending::Planned(permit), answered));
+                        self.counters.starts_already_answered += u64::from(pending.answered_too());
+                        t.pending = Some(pending.call_failed());
                     }
                 }
                 m.talk_after = if first_contact && !silent { now } else { now + ASK_AGAIN };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,6 +19,7 @@
 mod machines;
 mod membership;
 mod model;
+mod pending;
 mod placement;
 mod precedence;
 mod progress;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -8,6 +8,7 @@
 use marblewalk_retry::Backoff;
 
 use crate::bookkeeping::records::{BlockRow, TaskSet};
+pub use crate::coordination::pending::Pending;
 use crate::coordination::quota::{InForce, Permit};
 use crate::coordination::waiting::Wait;
 use crate::protocol::job::{JobSpec, Shape};
@@ -195,25 +196,6 @@
     }
 }
 
-/// A start that the machine has not confirmed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Pending {
-    /// Not sent yet; sent only while its permit holds.
-    Planned(Permit),
-    /// Sent in the answer to this report.
-    Sent { session: u64, tally: u64 },
-    /// Sent to the worker's address under this token, to this session. Unless the worker says so it
-    /// may arrive minutes later, as long as both still hold.
-    Direct {
-        session: u64,
-        token: u64,
-        /// By which it is planned again if the call was certainly not carried out.
-        permit: Permit,
-        /// The last report whose answer repeated it.
-        repeated: Option<u64>,
-    },
-}
-
 #[derive(Clone, Debug)]
 pub struct TaskOn {
     pub attempt: u64,
--- a/src/coordination/quota/permit.rs
+++ b/src/coordination/quota/permit.rs
@@ -15,7 +15,8 @@
 
 /// Shows that a start was within its team's limit as its owner counted, in this view and under this registration. There is
 /// no other way to one than an [`Allowance`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[cfg_attr(test, derive(Default))]
 pub struct Permit {
     registration: u64,
     view: u64,
