--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -103,8 +103,8 @@
     Some(frame)
 }
 
-/// Incoming side. A newer link from the same member ends the older one, so that messages of one
-/// member are never taken out of order.
+/// Incoming side. A newer link from the same member ends the older one. Newer is the one whose greeting is read last: one
+/// whose greeting was held up can still bring old messages after newer ones, so receivers compare the places of statuses.
 pub async fn listen(
     listener: TcpListener,
     members: Vec<String>,
@@ -142,7 +142,7 @@
             };
             tokio::select! {
                 _ = work => {}
-                _ = turns.wait_for(|t| *t != mine) => {}
+                _ = turns.wait_for(|t| *t != mine) => tracing::info!(from, "a newer link takes the place of this one"),
                 _ = stop.cancelled() => {}
             }
         });
