A whole status that comes after newer ones takes tasks that run for gone: a test, failing

A controller's whole status comes after newer ones. Its tasks that began in between are taken for gone by their job's heir (Ledger::heard takes any whole status for complete and sets the number back; peer_status replaces the words, and machine_told takes what is missing for gone by HolderSaid).

--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -35,6 +35,7 @@
 mod second_starts;
 mod services;
 mod spells;
+mod start_orders;
 mod store;
 mod takeovers;
 mod troubles;
--- a/src/coordination/simulation/former_lives.rs
+++ b/src/coordination/simulation/former_lives.rs
@@ -5,7 +5,7 @@
 use crate::coordination::replica::rendezvous;
 
 /// Numbers of jobs that the first of these controllers owns, and the second once the first has gone.
-fn passing_on(from: usize, to: usize) -> impl Iterator<Item = u32> {
+pub(super) fn passing_on(from: usize, to: usize) -> impl Iterator<Item = u32> {
     let third = format!("n-{}", 3 - from - to);
     owned_by(from).filter(move |n| {
         let left = [format!("n-{to}"), third.clone()];
