--- a/src/coordination/simulation/second_starts.rs
+++ b/src/coordination/simulation/second_starts.rs
@@ -12,7 +12,7 @@
 }
 
 /// The leader's next grant moves this machine to a controller.
-fn grant_to(world: &mut World, machine: &str, to: usize) {
+pub(super) fn grant_to(world: &mut World, machine: &str, to: usize) {
     let until = world.now + Micros::from_secs(5);
     loop {
         let leader = world.leader().unwrap();
--- a/src/coordination/simulation/start_orders.rs
+++ b/src/coordination/simulation/start_orders.rs
@@ -3,6 +3,7 @@
 
 use super::former_lives::passing_on;
 use super::meetings_limits::{of_team, roomy, there, until};
+use super::second_starts::grant_to;
 use super::*;
 use crate::protocol::peer::Status;
 
@@ -90,3 +91,88 @@
         assert_eq!(taken_for_gone, 0, "seed {seed}: tasks that run were taken for gone by an older word");
     }
 }
+
+/// A machine of the leader's on which nothing runs.
+fn idle_machine(world: &World) -> String {
+    let c = world.controllers[world.leader().unwrap()].as_ref().unwrap();
+    let mut held = c.machines.iter().filter(|(_, m)| c.owns(m) && m.resolved && m.tasks.is_empty());
+    held.next_back().expect("the leader has no idle machine").0.clone()
+}
+
+/// A job of the owner's that passes to the heir and fills all machines of the owner, and its tasks on this one once they run.
+fn fill(world: &mut World, owner: usize, heir: usize, machine: &str) -> Vec<(TaskId, String)> {
+    let owns = |w: &World| {
+        let c = w.controllers[owner].as_ref().unwrap();
+        c.owns(&c.machines[machine]) && c.machines[machine].resolved
+    };
+    assert!(until(world, Micros::from_secs(2), owns), "{machine} is not its owner's");
+    let c = world.controllers[owner].as_ref().unwrap();
+    let tasks = 16 * c.machines.values().filter(|m| c.owns(m)).count() as u32;
+    let number = passing_on(owner, heir).find(|n| !world.jobs.contains_key(&format!("j-{n:06}"))).unwrap();
+    let job = of_team(world, number, "blue", tasks);
+    let on = |w: &World| running(w, &job).into_iter().filter(|(_, on)| on == machine).collect::<Vec<_>>();
+    assert!(until(world, Micros::from_secs(8), |w| on(w).len() == 16), "only {} begun", on(world).len());
+    on(world)
+}
+
+/// The owner and its registration end, and the heir, which has read no changes, reads them all once there is a new view.
+/// The judge of the rules sees each start.
+fn ends_unread(world: &mut World, owner: usize, heir: usize) {
+    let node = records::node(&world.settings[owner].member);
+    world.crash_for(owner, Micros::from_secs(60));
+    world.store.commit(Transaction { conditions: Vec::new(), writes: vec![Write::delete(node)] });
+    let away = |w: &World| w.controllers[w.leader().unwrap()].as_ref().unwrap().view.members.len() == 2;
+    assert!(until(world, Micros::from_secs(4), away), "there is no new view");
+    world.spells.retain(|(spell, ..)| *spell != Spell::WatchHangs(heir));
+    world.run(world.now + Micros::from_secs(15));
+}
+
+/// Whether a controller has read that a machine is another's.
+fn has_given_away(world: &World, by: usize, machine: &str) -> bool {
+    let c = world.controllers[by].as_ref().unwrap();
+    !c.owns(&c.machines[machine])
+}
+
+/// What one controller says to another until something holds is lost; the first status after that shows it.
+fn lose_statuses(world: &mut World, from: usize, to: usize, lost_until: impl Fn(&World) -> bool) -> usize {
+    let member = world.settings[from].member.clone();
+    let is_status = |s: &Scheduled| {
+        matches!(&s.2, Happening::ToController { node, event: Event::Peer(by, PeerMessage::Status(_)), .. }
+            if *node == to && *by == member)
+    };
+    let (mut count, end) = (0, world.now + Micros::from_secs(3));
+    while count == 0 || !lost_until(world) {
+        assert!(world.now < end, "{count} statuses lost, and still not done");
+        let (lost, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut world.queue).into_iter().partition(is_status);
+        world.queue = kept.into();
+        count += lost.len();
+        world.run(world.now + Micros::from_millis(1));
+    }
+    count
+}
+
+/// Guards against `ran_twice`: the heir confirms what is announced of a machine whose grant it has not read yet, and keeps
+/// the word aside. The machine is given away, and the sender's next whole status clears the word before the grant is read.
+#[test]
+fn a_word_kept_for_an_unread_grant_outlives_a_whole_status() {
+    for seed in 720..723 {
+        let (mut world, owner, heir) = with_heir(seed);
+        world.befalls(Spell::WatchHangs(heir), Micros::MAX);
+        let machine = idle_machine(&world);
+        grant_to(&mut world, &machine, owner);
+        let begun = fill(&mut world, owner, heir, &machine);
+        cut_off(&mut world, owner, &begun);
+        grant_to(&mut world, &machine, heir);
+        let lost = lose_statuses(&mut world, owner, heir, |w| has_given_away(w, owner, &machine));
+        let whole = |w: &World| {
+            let said = &w.controllers[heir].as_ref().unwrap().peers[&w.settings[owner].member].status;
+            said.as_ref().is_some_and(|status| status.whole)
+        };
+        assert!(
+            until(&mut world, Micros::from_secs(2), whole),
+            "seed {seed}: {lost} lost, and it asks for nothing"
+        );
+        ends_unread(&mut world, owner, heir);
+    }
+}
