Conclusions that turn out to be wrong are counted and logged

Each controller keeps its conclusions that a task which had not ended is not on a machine for two minutes, 4,096 at most, and forgets them with its replica. A report, a reply or a holder's word that shows the same attempt there afterwards is counted by the conclusion's ground and logged as a warning (conclusions_contradicted_total).

A start that is sent of a task taken for gone elsewhere not long ago is logged with the earlier machine, attempt, token and ground, and a call with starts that is not carried out with its outcome.

The line of a machine that left the records is written by its holder alone (every controller had written it); it names the task's state, and says "unknown" where another controller ordered the start.

Tests came with the code, not before it: they need its interface.

--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -5,6 +5,7 @@
 use marblewalk_hearing::Shown;
 
 use crate::bookkeeping::records;
+use crate::coordination::conclusions::Evidence;
 use crate::coordination::knowledge::Proof;
 use crate::coordination::model::{Machine, Pending, TaskOn};
 use crate::coordination::pending::Heard;
@@ -37,6 +38,7 @@
             return self.answer(request, Answer::Later(1));
         };
         let Some(machine) = self.machines.get(&report.machine) else {
+            self.check_report(&report, Evidence::OutOfDate);
             self.report_stray(report);
             return self.answer(request, Answer::Elsewhere(None));
         };
@@ -62,6 +64,7 @@
             let there = owner != self.me() && self.nodes.get(&owner) == Some(&machine.row.node);
             // One that its owner has had for a while knows whose it is.
             let settled = machine.resolved && self.now.since(machine.granted) > SETTLED;
+            self.check_report(&report, Evidence::AnotherController);
             self.turned_here(&owner, &report.machine, settled);
             self.report_heard(&report.machine);
             return self.answer(request, Answer::Elsewhere(there.then_some(owner)));
@@ -73,6 +76,7 @@
         let overtaken = report.session == machine.session && report.tally > machine.reported;
         if !(newer || overtaken) || report.token > machine.row.token {
             self.counters.reports_stale += 1;
+            self.check_report(&report, Evidence::OutOfDate);
             return self.answer(request, Answer::Later(1));
         }
         let name = report.machine.clone();
@@ -148,6 +152,7 @@
     /// Updates what is known of a machine from its own words.
     fn take_report(&mut self, report: Report, direct: bool) {
         tracing::trace!(?report, "report");
+        self.check_evidence(&report, direct);
         let now = self.now;
         let name = report.machine;
         let mut seen: BTreeMap<TaskId, TaskOn> = BTreeMap::new();
@@ -343,9 +348,11 @@
                 t.since = now;
                 self.counters.starts += 1;
                 tracing::debug!(machine = name, task = id.text(), attempt = t.attempt, tally, "run");
+                self.conclusions.note_start(now, name, id, t.attempt);
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
         }
+        tracing::trace!(machine = name, token = machine.row.token, session, tally, ?orders, "answered");
         machine.answered = Some(now);
         proof.answer(machine.row.token, orders)
     }
@@ -425,6 +432,7 @@
                             attempt = t.attempt,
                             "run, directly"
                         );
+                        self.conclusions.note_start(now, name, id, t.attempt);
                         orders.push(Order::Start { task: id.text(), attempt: t.attempt });
                         m.starting.push(id.clone());
                     }
@@ -437,12 +445,14 @@
                 m.talk_after = now + Micros::from_secs(1);
             }
             m.talking = true;
+            tracing::trace!(machine = name, token, session, ?orders, "called");
             let orders = proof.order(token, session, orders);
             self.effects.push(Effect::Orders { machine: name.clone(), addr: m.addr.clone(), orders });
         }
     }
 
     pub(super) fn worker_replied(&mut self, name: &str, token: u64, reply: DirectReply) {
+        tracing::trace!(machine = name, token, ?reply, "replied");
         let now = self.now;
         let Some(m) = self.machines.get(name) else { return };
         // To a former registration's order it says nothing of what else that one had sent.
@@ -470,14 +480,28 @@
             DirectReply::Rejected(_) | DirectReply::NotSent => {
                 // Certainly not carried out: the next report's answer takes them along, unless one has already. What an
                 // earlier call started is not among them: it may be there.
+                let mut answered_before = 0;
                 for id in &starting {
                     if let Some(t) = m.tasks.get_mut(id)
                         && let Some(pending) = t.pending
                     {
-                        self.counters.starts_already_answered += u64::from(pending.answered_too());
+                        answered_before += u64::from(pending.answered_too());
                         t.pending = Some(pending.call_failed());
                     }
                 }
+                self.counters.starts_already_answered += answered_before;
+                if !starting.is_empty() {
+                    let outcome = if silent { "not sent" } else { "rejected" };
+                    let starts = starting.len();
+                    tracing::info!(
+                        machine = name,
+                        token,
+                        outcome,
+                        starts,
+                        answered_before,
+                        "a call with starts was not carried out"
+                    );
+                }
                 m.talk_after = if first_contact && !silent { now } else { now + ASK_AGAIN };
                 if m.lost {
                     self.soon_status();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod backfill;
 mod blocks;
+mod conclusions;
 mod displacement;
 mod eligibility;
 mod failures;
@@ -434,6 +435,8 @@
     pub(crate) taking_over: bool,
     /// How often tasks were taken for gone, by what that rested on.
     pub(crate) removals: BTreeMap<Removal, u64>,
+    /// The latest of these, to notice when one turns out to be wrong.
+    pub(crate) conclusions: conclusions::Conclusions,
     pub counters: Counters,
     #[cfg(test)]
     pub(crate) careless: bool,
@@ -536,6 +539,7 @@
             placing: false,
             taking_over: false,
             removals: BTreeMap::new(),
+            conclusions: conclusions::Conclusions::default(),
             counters: Counters::default(),
             #[cfg(test)]
             careless: false,
--- a/src/coordination/removal.rs
+++ b/src/coordination/removal.rs
@@ -7,7 +7,7 @@
 
 use crate::coordination::Controller;
 use crate::coordination::model::{Machine, Pending, TaskOn};
-use crate::protocol::worker::TaskId;
+use crate::protocol::worker::{TaskId, TaskState};
 
 /// What a controller's conclusion rests on that a task is not on a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,14 +48,68 @@
     }
 }
 
-/// How far an unconfirmed start had come, as the log names it.
-fn progress(task: &TaskOn) -> &'static str {
-    match task.pending {
-        None => "confirmed",
-        Some(Pending::Planned(_)) => "planned",
-        Some(Pending::Sent { .. }) => "answered",
-        Some(Pending::Direct { repeated: None, .. }) => "called",
-        Some(Pending::Direct { repeated: Some(_), .. }) => "called and answered",
+/// How far a start had come when its task was taken for gone, as far as this controller knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// It had not been sent.
+    Planned,
+    /// An answer to a report had brought it.
+    Answered,
+    /// A direct call was to bring it.
+    Called,
+    /// A direct call was to bring it, and an answer to a report had repeated it.
+    CalledAndAnswered,
+    /// The machine had shown the task to this controller, its holder.
+    Confirmed,
+    /// Another controller ordered it, and this one has not heard the machine itself under its own grant.
+    Unknown,
+}
+
+impl Progress {
+    fn of(task: &TaskOn, heard_here: bool) -> Progress {
+        match task.pending {
+            Some(Pending::Planned(_)) => Progress::Planned,
+            Some(Pending::Sent { .. }) => Progress::Answered,
+            Some(Pending::Direct { repeated: None, .. }) => Progress::Called,
+            Some(Pending::Direct { repeated: Some(_), .. }) => Progress::CalledAndAnswered,
+            None if heard_here => Progress::Confirmed,
+            None => Progress::Unknown,
+        }
+    }
+
+    /// Its name in the log.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Progress::Planned => "planned",
+            Progress::Answered => "answered",
+            Progress::Called => "called",
+            Progress::CalledAndAnswered => "called and answered",
+            Progress::Confirmed => "confirmed",
+            Progress::Unknown => "unknown",
+        }
+    }
+}
+
+/// What was known of a task when it was taken for gone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Removed {
+    pub(super) attempt: u64,
+    /// The machine's token and session then.
+    pub(super) token: u64,
+    pub(super) session: u64,
+    pub(super) state: TaskState,
+    pub(super) progress: Progress,
+}
+
+impl Removed {
+    fn of(machine: &Machine, task: &TaskOn, own: bool) -> Removed {
+        Removed {
+            attempt: task.attempt,
+            token: machine.row.token,
+            session: machine.session,
+            state: task.state,
+            progress: Progress::of(task, own && machine.resolved),
+        }
     }
 }
 
@@ -65,47 +119,34 @@
         self.removals.get(&ground).copied().unwrap_or(0)
     }
 
-    /// Logs and counts the tasks that are on a machine no more, but for those that had ended there.
+    /// Logs, counts and keeps the tasks that are on a machine no more, but for those that had ended there.
     pub(super) fn note_removals(&mut self, name: &str, before: &BTreeMap<TaskId, TaskOn>, ground: Removal) {
         let Some(machine) = self.machines.get(name) else { return };
-        let gone = |id: &TaskId, task: &TaskOn| !task.ended() && !machine.tasks.contains_key(id);
-        let mut count = 0;
-        for (id, task) in before.iter().filter(|(id, task)| gone(id, task)) {
-            log_removal(machine, id, task, ground);
-            count += 1;
+        let own = self.owns(machine);
+        let gone = |(id, task): &(&TaskId, &TaskOn)| !task.ended() && !machine.tasks.contains_key(*id);
+        let removed: Vec<(&TaskId, Removed)> =
+            before.iter().filter(gone).map(|(id, task)| (id, Removed::of(machine, task, own))).collect();
+        if removed.is_empty() {
+            return;
         }
-        if count > 0 {
-            *self.removals.entry(ground).or_default() += count;
+        *self.removals.entry(ground).or_default() += removed.len() as u64;
+        // The line of what the holder said, or of a machine that has left the records, is in its holder's log.
+        let holder_logs = !own && self.nodes.get(&machine.row.owner) == Some(&machine.row.node);
+        let elsewhere = ground == Removal::HolderSaid || ground == Removal::MachineGone && holder_logs;
+        for (id, removed) in removed {
+            log_removal(name, id, removed, ground, elsewhere);
+            self.keep_conclusion(name, id, removed, ground);
         }
     }
 }
 
-fn log_removal(machine: &Machine, id: &TaskId, task: &TaskOn, ground: Removal) {
-    let (name, session) = (machine.row.machine.as_str(), machine.session);
-    let (task_name, attempt, token) = (id.text(), task.attempt, machine.row.token);
-    let (start, ground_name) = (progress(task), ground.name());
-    if ground == Removal::HolderSaid {
-        // The holder's own log has it as well.
-        tracing::debug!(
-            task = task_name,
-            attempt,
-            machine = name,
-            token,
-            session,
-            start,
-            ground = ground_name,
-            "gone"
-        );
+/// `elsewhere`: another controller's log has the same conclusion.
+fn log_removal(machine: &str, id: &TaskId, removed: Removed, ground: Removal, elsewhere: bool) {
+    let Removed { attempt, token, session, state, progress } = removed;
+    let (task, start, ground_name) = (id.text(), progress.name(), ground.name());
+    if elsewhere {
+        tracing::debug!(task, attempt, machine, token, session, ?state, start, ground = ground_name, "gone");
     } else {
-        tracing::info!(
-            task = task_name,
-            attempt,
-            machine = name,
-            token,
-            session,
-            start,
-            ground = ground_name,
-            "gone"
-        );
+        tracing::info!(task, attempt, machine, token, session, ?state, start, ground = ground_name, "gone");
     }
 }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -62,6 +62,7 @@
         self.taking_over = false;
         self.retired.clear();
         self.strangers.clear();
+        self.conclusions.forget();
         self.removed.clear();
         self.refusals.clear();
         self.turned.clear();
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -5,6 +5,7 @@
 mod asking;
 mod at_limits;
 mod cloud;
+mod contradictions;
 mod deafness;
 mod evictions;
 mod fleets;
--- a/src/coordination/simulation/second_starts.rs
+++ b/src/coordination/simulation/second_starts.rs
@@ -7,7 +7,7 @@
 use crate::protocol::worker::DirectOrders;
 
 /// Another controller than the one that starts a task, and the one that leads.
-fn other_than(world: &World, n: usize) -> usize {
+pub(super) fn other_than(world: &World, n: usize) -> usize {
     (0..3).find(|other| *other != n && world.controllers[*other].is_some()).unwrap()
 }
 
@@ -59,7 +59,7 @@
 }
 
 /// A controller and one of its planned starts that has not been sent, with its machine.
-fn planned(world: &mut World) -> (usize, String, TaskId) {
+pub(super) fn planned(world: &mut World) -> (usize, String, TaskId) {
     let until = world.now + Micros::from_secs(20);
     while world.now < until {
         world.run(world.now + Micros::from_millis(1));
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -9,6 +9,7 @@
 
 use marblewalk_recovery::Hearing;
 
+use crate::coordination::conclusions::{Evidence, Sighting};
 use crate::coordination::model::{Machine, TaskOn};
 use crate::coordination::removal::Removal;
 use crate::coordination::{Controller, Effect, Peer, Phase};
@@ -325,6 +326,9 @@
         if machine.row.token != told.token || machine.row.owner != from || Some(machine.row.node) != node {
             return self.told_too_late(told);
         }
+        let evidence = if told.resolved { Evidence::Holder } else { Evidence::UnresolvedHolder };
+        self.check_conclusions(&told.machine, evidence, sightings(told));
+        let Some(machine) = self.machines.get(&told.machine) else { return };
         let mut seen = BTreeMap::new();
         let mut ended = Vec::new();
         for t in &told.tasks {
@@ -389,6 +393,7 @@
     /// A holder that had not heard yet that its machine is another's has announced starts there. Until
     /// the new holder knows what is on it, they may be.
     fn told_too_late(&mut self, told: &MachineStatus) {
+        self.check_conclusions(&told.machine, Evidence::OtherGrant, sightings(told));
         let Some(machine) = self.machines.get(&told.machine) else { return };
         if told.token < machine.row.token && !machine.resolved {
             self.may_be_there(told);
@@ -418,3 +423,9 @@
         self.set_tasks(&told.machine, tasks);
     }
 }
+
+/// The tasks that a word on a machine shows.
+fn sightings(told: &MachineStatus) -> impl Iterator<Item = Sighting<'_>> {
+    let token = told.token;
+    told.tasks.iter().map(move |t| Sighting { task: &t.task, attempt: t.attempt, state: t.state, token })
+}
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -191,7 +191,14 @@
     for ground in Removal::all() {
         let count = c.removals(ground);
         text += &format!("marblewalk_tasks_taken_for_gone_total{{ground=\"{}\"}} {count}\n", ground.name());
+        for (what, count) in [
+            ("contradicted", c.conclusions_contradicted(ground)),
+            ("questioned", c.conclusions_questioned(ground)),
+        ] {
+            text += &format!("marblewalk_conclusions_{what}_total{{ground=\"{}\"}} {count}\n", ground.name());
+        }
     }
+    text += &format!("marblewalk_conclusions_crowded_out_total {}\n", c.conclusions_crowded_out());
     for (share, oldest) in c.pool_shares() {
         let labels = format!(
             "team=\"{}\",class=\"{}\",rank=\"{}\"",
