A word under a grant that has not been read outlives a whole status

Cause: a controller that is behind in reading the store confirms what is announced of a machine whose grant it has not read, and keeps the word aside. A whole status cleared all words, also this one, though its sender had only given the machine away since. When the grants were read there was nothing to recall, the ledger listed the machine in full (what the sender announced had been confirmed here), and the heir of its jobs started the tasks again.

Why it works: a whole status clears the words under grants that have been read; a word under a newer grant stays until that grant is read and recalls it.

--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -260,8 +260,16 @@
         let told = !words.is_empty();
         let peer = self.peers.entry(from.clone()).or_default();
         let before = peer.status.as_ref().filter(|s| s.stamp == status.stamp);
-        if before.is_none() || status.whole {
+        if before.is_none() {
             peer.words.clear();
+        } else if status.whole {
+            // A word under a grant that has not been read here is all that is known of what this controller has confirmed
+            // there: the sender may have given the machine away since.
+            let machines = &self.machines;
+            let unread = |word: &MachineStatus| {
+                machines.get(&word.machine).is_none_or(|machine| machine.row.token < word.token)
+            };
+            peer.words.retain(|_, word| unread(word));
         }
         let hearing = self.ledger.heard(&life, status.sequence, status.whole, status.applied);
         let reply = match hearing {
