A machine granted to a controller that goes on without this one counts as not known in full

Cause: a controller that has recorded another as uninformed orders starts without its confirmation. The ledger noted that for the machines that it held when the record was read, and not for those that it was granted while the record stood. Given away again before the other was relied on, such a machine was listed in full there, with none of its tasks.

Why it works: Ledger::granted notes the same as Ledger::uninformed does; whichever of the two records is read first, the machine is listed again only when its holder tells of it in full, or somebody resolves it.

--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -130,8 +130,13 @@
                 self.machines.insert(machine.to_owned(), standing);
             }
             Some(life) => {
+                let uninformed = self.chains.get(&life).is_some_and(|chain| chain.uninformed);
                 let standing = self.machines.entry(machine.to_owned()).or_default();
                 standing.holders.retain(|holder| *holder != life);
+                if uninformed {
+                    // It orders there without this controller, and may give the machine away before it speaks of it.
+                    *standing.missed.entry(life.clone()).or_default() = true;
+                }
                 standing.holders.push(life);
             }
         }
