Changes told a second time after newer ones take tasks that run for gone: a test, failing

As with an older whole status, for one that tells changes: peer_status takes its words though Ledger::heard found the number out of order (Hearing::Broken), and machine_told takes what they lack for gone.

--- a/src/coordination/simulation/start_orders.rs
+++ b/src/coordination/simulation/start_orders.rs
@@ -92,6 +92,47 @@
     }
 }
 
+/// Statuses from one controller to another that are under way and name tasks.
+fn under_way(world: &World, from: usize, to: usize) -> Vec<Status> {
+    let status = |s: &Scheduled| match &s.2 {
+        Happening::ToController { node, event: Event::Peer(by, PeerMessage::Status(status)), .. }
+            if *node == to && *by == world.settings[from].member =>
+        {
+            Some(status.clone())
+        }
+        _ => None,
+    };
+    let statuses = world.queue.iter().filter_map(status);
+    statuses.filter(|s| s.machines.iter().any(|m| !m.tasks.is_empty())).collect()
+}
+
+/// Guards against `ran_twice`: a status that tells changes comes a second time, after newer ones, and tasks that began on the
+/// machines that it names are taken for gone. That something seems to be missed then holds its sender's heir back no longer once the
+/// sender has ended.
+#[test]
+fn older_changes_take_back_nothing_that_newer_ones_told() {
+    for seed in 730..733 {
+        let (mut world, owner, heir) = with_heir(seed);
+        let first = of_team(&mut world, passing_on(owner, heir).nth(3).unwrap(), "blue", 3);
+        let (mut said, end) = (Vec::new(), world.now + Micros::from_secs(8));
+        while there(&world, &first) < 3 && world.now < end {
+            world.run(world.now + Micros::from_millis(1));
+            said.extend(under_way(&world, owner, heir));
+        }
+        let old = said.pop().expect("nothing was said of the first tasks");
+        assert!(!old.whole, "seed {seed}");
+        let begun = begun(&mut world, owner, heir);
+        assert_eq!(forgotten(&world, heir, &begun), 0, "seed {seed}: it was not told of them");
+        arrives(&mut world, owner, heir, &old);
+        let taken_for_gone = forgotten(&world, heir, &begun);
+        cut_off(&mut world, owner, &begun);
+        world.crash_for(owner, Micros::from_secs(60));
+        // The judge of the rules sees each start.
+        world.run(world.now + Micros::from_secs(15));
+        assert_eq!(taken_for_gone, 0, "seed {seed}: tasks that run were taken for gone by an older word");
+    }
+}
+
 /// A machine of the leader's on which nothing runs.
 fn idle_machine(world: &World) -> String {
     let c = world.controllers[world.leader().unwrap()].as_ref().unwrap();
