A task is started again that was ordered after a whole status, while its sender went on without the heir: a test, failing

Symptom: ran_twice. A controller recorded as going on without the heir tells it all once (its resolved word clears the ledger's mark), starts tasks of which the heir hears nothing, gives the machine away, is relied on again and ends. Ledger::heard notes the break as one in which nothing was ordered, so the heir takes the machine for known in full.

--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -32,6 +32,7 @@
 mod pairs;
 mod quota_guard;
 mod returns;
+mod review_orders;
 mod rules;
 mod second_starts;
 mod services;
--- a/src/coordination/simulation/start_orders.rs
+++ b/src/coordination/simulation/start_orders.rs
@@ -8,7 +8,7 @@
 use crate::protocol::peer::Status;
 
 /// All that a controller says of its machines at this moment, as it answers one that has missed something.
-fn whole_status(world: &mut World, from: usize, to: usize) -> Status {
+pub(super) fn whole_status(world: &mut World, from: usize, to: usize) -> Status {
     let (clock, asker) = (world.clock(from), world.settings[to].member.clone());
     let controller = world.controllers[from].as_mut().unwrap();
     let effects = controller.handle(clock, Event::Peer(asker.clone(), PeerMessage::Again));
@@ -27,7 +27,7 @@
 }
 
 /// A status arrives, however long it was on its way.
-fn arrives(world: &mut World, from: usize, to: usize, status: &Status) {
+pub(super) fn arrives(world: &mut World, from: usize, to: usize, status: &Status) {
     let event = Event::Peer(world.settings[from].member.clone(), PeerMessage::Status(status.clone()));
     world.tell(to, event);
 }
@@ -49,7 +49,7 @@
 
 /// Machines with these tasks reach nobody for a while, and keep them until their leases are over. The owner's other machines
 /// turn to others when it has ended, so that this is noticed.
-fn cut_off(world: &mut World, owner: usize, begun: &[(TaskId, String)]) {
+pub(super) fn cut_off(world: &mut World, owner: usize, begun: &[(TaskId, String)]) {
     let c = world.controllers[owner].as_ref().unwrap();
     let others = c.machines.iter().filter(|(name, m)| c.owns(m) && begun.iter().all(|(_, on)| on != *name));
     assert!(others.count() > 0, "nobody would notice the owner's end before its lease is over");
@@ -59,7 +59,7 @@
 }
 
 /// A cluster with room, its jobs' owner that does not lead, and the heir of a job that is yet to be submitted.
-fn with_heir(seed: u64) -> (World, usize, usize) {
+pub(super) fn with_heir(seed: u64) -> (World, usize, usize) {
     let world = roomy(seed, &[("blue", 0.0, 0.0), ("green", 0.0, 0.0)]);
     let leader = world.leader().unwrap();
     (world, (leader + 1) % 3, (leader + 2) % 3)
@@ -134,14 +134,14 @@
 }
 
 /// A machine of the leader's on which nothing runs.
-fn idle_machine(world: &World) -> String {
+pub(super) fn idle_machine(world: &World) -> String {
     let c = world.controllers[world.leader().unwrap()].as_ref().unwrap();
     let mut held = c.machines.iter().filter(|(_, m)| c.owns(m) && m.resolved && m.tasks.is_empty());
     held.next_back().expect("the leader has no idle machine").0.clone()
 }
 
 /// A job of the owner's that passes to the heir and fills all machines of the owner, and its tasks on this one once they run.
-fn fill(world: &mut World, owner: usize, heir: usize, machine: &str) -> Vec<(TaskId, String)> {
+pub(super) fn fill(world: &mut World, owner: usize, heir: usize, machine: &str) -> Vec<(TaskId, String)> {
     let owns = |w: &World| {
         let c = w.controllers[owner].as_ref().unwrap();
         c.owns(&c.machines[machine]) && c.machines[machine].resolved
@@ -158,7 +158,7 @@
 
 /// The owner and its registration end, and the heir, which has read no changes, reads them all once there is a new view.
 /// The judge of the rules sees each start.
-fn ends_unread(world: &mut World, owner: usize, heir: usize) {
+pub(super) fn ends_unread(world: &mut World, owner: usize, heir: usize) {
     let node = records::node(&world.settings[owner].member);
     world.crash_for(owner, Micros::from_secs(60));
     world.store.commit(Transaction { conditions: Vec::new(), writes: vec![Write::delete(node)] });
@@ -169,7 +169,7 @@
 }
 
 /// Whether a controller has read that a machine is another's.
-fn has_given_away(world: &World, by: usize, machine: &str) -> bool {
+pub(super) fn has_given_away(world: &World, by: usize, machine: &str) -> bool {
     let c = world.controllers[by].as_ref().unwrap();
     !c.owns(&c.machines[machine])
 }
