What is missed of a controller that goes on without this one may have been ordered

Cause: a whole status of a controller that had recorded this one as uninformed made its messages look complete and cleared the mark on its machines. What it ordered after that, unannounced here, was noted when the break showed as never ordered.

Why it works: a break is noted with what the record says of its sender then; a record read later marks the machines that the sender has held, as before.

--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -39,7 +39,7 @@
     /// Who has held it since, the present holder last.
     holders: Vec<Life>,
     /// Holders of whose announcements something may have been missed since they last spoke of it, and
-    /// whether it may have been ordered all the same: they did not wait for this controller.
+    /// whether it may have been ordered all the same: they did not wait for this controller when it was missed.
     missed: BTreeMap<Life, bool>,
 }
 
@@ -97,9 +97,9 @@
         chain.unbroken = whole || next;
         chain.number = number;
         chain.applied = chain.applied.max(applied);
-        let complete = chain.unbroken;
+        let (complete, uninformed) = (chain.unbroken, chain.uninformed);
         if breaks || whole && !next {
-            self.missed_by(from, false);
+            self.missed_by(from, uninformed);
         }
         if complete { Hearing::Complete } else { Hearing::Broken }
     }
@@ -144,7 +144,8 @@
 
     /// Its holder has spoken of a machine under its present grant. `resolved`: it is known in full.
     pub fn told(&mut self, machine: &str, by: &Life, resolved: bool) {
-        // One that goes on without this controller may order more right after its word.
+        // While its messages are missed, one that goes on without this controller may order more right after its word. What
+        // is missed later is noted when the break shows.
         let (broken, ordered) = self.chains.get(by).map_or((false, false), |c| (!c.unbroken, c.uninformed));
         let standing = self.machines.entry(machine.to_owned()).or_default();
         if resolved {
