--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,8 +7,11 @@
 mod backfill;
 mod blocks;
 mod conclusions;
+mod counters;
+mod direct_calls;
 mod displacement;
 mod eligibility;
+mod events;
 mod failures;
 mod finals;
 mod fleet;
@@ -16,6 +19,7 @@
 mod gangs;
 mod intake;
 mod knowledge;
+mod lapses;
 mod leader;
 mod machines;
 mod membership;
@@ -24,6 +28,7 @@
 mod placement;
 mod precedence;
 mod progress;
+mod purposes;
 mod quota;
 mod reach;
 mod removal;
@@ -55,15 +60,17 @@
 use crate::bookkeeping::budget::{Budget, Urgency};
 use crate::bookkeeping::cache::FinalCache;
 use crate::bookkeeping::records::{QuotaRecord, UninformedRecord, ViewRecord};
-use crate::protocol::cloud::{CloudCall, CloudReply, MachineType, Rental};
-use crate::protocol::job::{JobSpec, JobState};
-use crate::protocol::peer::{MachineStatus, PeerMessage, Status};
+use crate::protocol::cloud::{CloudCall, MachineType, Rental};
+use crate::protocol::job::JobSpec;
+use crate::protocol::peer::{MachineStatus, Status};
 use crate::protocol::store::{StoreCall, StoreReply};
 use crate::protocol::units::{Micros, Resources};
-use crate::protocol::worker::{DirectOrders, DirectReply, Report, ReportAnswer};
 use crate::settings::{Settings, Tuning};
 
+pub use counters::Counters;
+pub use events::{Answer, CallId, Effect, Event, RequestId};
 pub use model::{Job, Machine};
+pub(crate) use purposes::{CloudPurpose, Missing, Purpose, Question, Wanted};
 pub use quota::Breach;
 pub use removal::Removal;
 pub use waiting::WaitReason;
@@ -81,161 +88,6 @@
 /// every round: a tree of names spent a fifth of all processor time on comparing them.
 pub(crate) type ByName<T> = IndexMap<String, T, FxBuildHasher>;
 
-/// Names a request from outside that waits for its [`Answer`].
-pub type RequestId = u64;
-/// Names a call to the state service or the cloud.
-pub type CallId = u64;
-
-#[derive(Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    Store(CallId, StoreReply),
-    Cloud(CallId, CloudReply),
-    Peer(String, PeerMessage),
-    /// A controller refused a connection.
-    Refused(String),
-    Report(RequestId, Report),
-    /// A worker's reply to direct orders under a token.
-    Worker {
-        machine: String,
-        token: u64,
-        reply: DirectReply,
-    },
-    Submit(RequestId, Box<JobSpec>),
-    Query(RequestId, String),
-    Withdraw(RequestId, String),
-}
-
-#[derive(Debug)]
-pub enum Effect {
-    Store(CallId, StoreCall),
-    Cloud(CallId, CloudCall),
-    Answer(RequestId, Answer),
-    /// Orders to a worker's own address.
-    Orders {
-        machine: String,
-        addr: String,
-        orders: DirectOrders,
-    },
-    /// To one controller, or to all others.
-    Send(Option<String>, PeerMessage),
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    Orders(ReportAnswer),
-    /// Report elsewhere: to the member named, or to the next one.
-    Elsewhere(Option<String>),
-    Job {
-        created: bool,
-        id: String,
-        state: JobState,
-        done: u32,
-        running: u32,
-    },
-    NotFound,
-    Impossible(&'static str),
-    /// Not now: come back after so many seconds.
-    Later(u32),
-}
-
-/// What a user asks of a job.
-#[derive(Clone, Debug)]
-pub(crate) struct Question {
-    pub request: RequestId,
-    pub job: String,
-    /// When its user has gone.
-    pub until: Micros,
-}
-
-/// What the records are looked through for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Wanted {
-    /// The job's state.
-    State,
-    /// To withdraw it.
-    Withdrawal,
-    /// Whether a submission that cannot run was accepted before; else it is refused, with this reason.
-    Refusal(&'static str),
-}
-
-/// What the lack of a record of the job's end means.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Missing {
-    /// Nothing: it has been accepted, and may have been live meanwhile.
-    Nothing,
-    /// It has never been accepted, as of then: its live record had been looked for before.
-    Unknown { as_of: Micros, wanted: Wanted },
-}
-
-/// Why a call to the state service was made.
-#[derive(Clone, Debug)]
-pub(crate) enum Purpose {
-    FormerLife,
-    ReleaseFormer,
-    Lease,
-    Register {
-        lease: u64,
-    },
-    Load,
-    Follow,
-    Renew,
-    Lead,
-    Evict,
-    Grant,
-    Accept {
-        request: RequestId,
-        spec: Box<JobSpec>,
-    },
-    /// Is the job live? If not, is it over?
-    LookLive {
-        question: Question,
-        wanted: Wanted,
-    },
-    /// Are these jobs live?
-    CheckLive {
-        polls: Vec<Question>,
-    },
-    LookFinal {
-        question: Question,
-        /// What to do if it is not over either.
-        missing: Missing,
-    },
-    Withdraw {
-        question: Question,
-        tasks: u32,
-    },
-    Complete {
-        job: String,
-        tasks: u32,
-    },
-    Progress {
-        job: String,
-        chunk: usize,
-    },
-    RentalStored {
-        rental: Rental,
-    },
-    RentalClosed {
-        request: String,
-    },
-    Cleanup,
-    Finals,
-    Quota,
-    Uninformed {
-        record: BTreeSet<Life>,
-    },
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum CloudPurpose {
-    Types,
-    Rent(Rental),
-    Return(Vec<String>),
-    List,
-}
-
 /// Where a controller stands in its own life.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Phase {
@@ -268,43 +120,6 @@
     pub asked_again: Micros,
 }
 
-/// Counters for the operators' endpoint.
-#[derive(Clone, Debug, Default)]
-pub struct Counters {
-    pub reports: u64,
-    pub reports_stale: u64,
-    /// Reports of a machine that is recorded as another type, or elsewhere.
-    pub reports_odd: u64,
-    /// Passes over all jobs that wait for a start.
-    pub passes: u64,
-    pub starts: u64,
-    pub stops: u64,
-    pub completions: u64,
-    pub task_errors: u64,
-    pub lapses: u64,
-    pub accepted: u64,
-    pub deferred: u64,
-    pub grants: u64,
-    pub grant_conflicts: u64,
-    pub rentals: u64,
-    pub refusals: u64,
-    pub returns: u64,
-    pub rejoins: u64,
-    /// Takeovers that did not wait for some machine, because all that may be on it was known.
-    pub takeovers_listed: u64,
-    pub takeovers: u64,
-    /// Direct starts that found no connection while the answer to a report had brought them.
-    pub starts_already_answered: u64,
-    /// Starts that were held back at the last moment, since their tasks might have been on other machines.
-    pub starts_held_back: u64,
-    /// Replies that were meant for a former registration of this controller, or a former grant.
-    pub replies_misdirected: u64,
-    /// Statuses that came after newer ones of the same sender, and were dropped.
-    pub statuses_outdated: u64,
-    pub store_failures: u64,
-    pub cloud_failures: u64,
-}
-
 /// One controller.
 pub struct Controller {
     pub(crate) settings: Settings,
--- a/src/coordination/simulation/late_statuses.rs
+++ b/src/coordination/simulation/late_statuses.rs
@@ -4,23 +4,12 @@
 //! held after the first messages of the next one.
 
 use super::meetings::full;
+use super::start_orders::whole_status;
 use super::takeovers::array;
 use super::*;
 use crate::coordination::model::Machine;
 use crate::protocol::peer::Status;
 
-/// What a controller answers to another that asks to hear everything.
-fn whole_status(world: &mut World, of: usize, to: usize) -> Status {
-    let (clock, asker) = (world.clock(of), world.settings[to].member.clone());
-    let controller = world.controllers[of].as_mut().unwrap();
-    let effects = controller.handle(clock, Event::Peer(asker.clone(), PeerMessage::Again));
-    let sent = effects.into_iter().find_map(|effect| match effect {
-        Effect::Send(Some(receiver), PeerMessage::Status(status)) if receiver == asker => Some(status),
-        _ => None,
-    });
-    sent.expect("no whole status was sent")
-}
-
 /// A controller that holds machines, and another one.
 fn holder_and_receiver(world: &World) -> (usize, usize) {
     let holds = |n: &usize| {
