--- a/src/coordination/conclusions.rs
+++ b/src/coordination/conclusions.rs
@@ -12,6 +12,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use rustc_hash::FxHashMap;
+
 use crate::coordination::Controller;
 use crate::coordination::model::Job;
 use crate::coordination::removal::{Removal, Removed};
@@ -96,7 +98,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Conclusions {
     by_task: BTreeMap<TaskId, Vec<Conclusion>>,
-    oldest: VecDeque<(Micros, TaskId)>,
+    /// When each was drawn, of which task and machine, the oldest first.
+    oldest: VecDeque<(Micros, TaskId, String)>,
+    /// How many of these each machine has: most machines' words need no look.
+    by_machine: FxHashMap<String, u32>,
     contradicted: BTreeMap<Removal, u64>,
     unordered: BTreeMap<Removal, u64>,
     crowded_out: u64,
@@ -110,18 +115,25 @@
             self.crowded_out += 1;
             self.drop_oldest();
         }
-        self.oldest.push_back((conclusion.at, id.clone()));
+        *self.by_machine.entry(conclusion.machine.clone()).or_default() += 1;
+        self.oldest.push_back((conclusion.at, id.clone(), conclusion.machine.clone()));
         self.by_task.entry(id.clone()).or_default().push(conclusion);
     }
 
     fn expire(&mut self, now: Micros) {
-        while self.oldest.front().is_some_and(|(at, _)| now.since(*at) > KEPT_FOR) {
+        while self.oldest.front().is_some_and(|(at, ..)| now.since(*at) > KEPT_FOR) {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        let Some((at, id)) = self.oldest.pop_front() else { return };
+        let Some((at, id, machine)) = self.oldest.pop_front() else { return };
+        if let Some(count) = self.by_machine.get_mut(&machine) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_machine.remove(&machine);
+            }
+        }
         if let Some(kept) = self.by_task.get_mut(&id) {
             // Contradicted ones have left before; of those that remain, the ones of that moment or before go.
             kept.retain(|c| c.at > at);
@@ -135,6 +147,12 @@
     pub(super) fn forget(&mut self) {
         self.by_task.clear();
         self.oldest.clear();
+        self.by_machine.clear();
+    }
+
+    /// Whether anything was concluded of a machine not long ago.
+    fn concern(&self, machine: &str) -> bool {
+        self.by_machine.contains_key(machine)
     }
 
     /// The conclusion that this sighting contradicts, if there is one that has not been counted for it yet.
@@ -220,7 +238,7 @@
         evidence: Evidence,
         seen: impl Iterator<Item = Sighting<'a>>,
     ) {
-        if self.conclusions.by_task.is_empty() {
+        if !self.conclusions.concern(machine) {
             return;
         }
         let now = self.now;
@@ -249,7 +267,7 @@
 
     /// Compares a report or reply with what was concluded not long ago.
     pub(super) fn check_report(&mut self, report: &Report, evidence: Evidence) {
-        if self.conclusions.by_task.is_empty() {
+        if !self.conclusions.concern(&report.machine) {
             return;
         }
         let shown: Vec<(TaskId, u64, TaskState)> =
