A witness's word makes no machine known that may have had a holder whom a newcomer does not know

Cause: a machine changes hands between the view that names a newcomer and the newcomer's load, so that the newcomer knows its present holder alone. The former holder has not read the grant, is cut off from the newcomer, records it as uninformed and starts tasks there. The ledger marks what such a controller may have ordered only on machines that it is known to have held. A witness's earlier word had made the machine known; when the former holder ends and no witness's word comes in time, the newcomer takes over its jobs and starts the tasks again.

Why it works: the ledger keeps the revision of the record by which a machine was first read. Where that is later than the view that names this controller, the witness's word counts for the takeover in which it was asked for, and does not make the machine known for later ones; that takes the holder's word, or the machine's. In the usual order, load before view, nothing changes.

--- a/crates/recovery/src/ledger.rs
+++ b/crates/recovery/src/ledger.rs
@@ -36,6 +36,9 @@
 struct Standing {
     /// Everything that was on it, when it was last known in full, is known.
     known: bool,
+    /// Revision of the record by which this controller has learnt of it, if somebody held it by then: who held it
+    /// before is not known.
+    first_read: u64,
     /// Who has held it since, the present holder last.
     holders: Vec<Life>,
     /// Holders of whose announcements something may have been missed since they last spoke of it, and
@@ -142,6 +145,12 @@
         }
     }
 
+    /// A machine that this controller has learnt of by a record of this revision, which says that somebody holds it.
+    pub fn first_read(&mut self, machine: &str, holder: Life, revision: u64) {
+        self.granted(machine, Some(holder));
+        self.machines.entry(machine.to_owned()).or_default().first_read = revision;
+    }
+
     /// Its holder has spoken of a machine under its present grant. `resolved`: it is known in full.
     pub fn told(&mut self, machine: &str, by: &Life, resolved: bool) {
         // While its messages are missed, one that goes on without this controller may order more right after its word. What
@@ -149,7 +158,7 @@
         let (broken, ordered) = self.chains.get(by).map_or((false, false), |c| (!c.unbroken, c.uninformed));
         let standing = self.machines.entry(machine.to_owned()).or_default();
         if resolved {
-            *standing = Standing { known: true, holders: vec![by.clone()], missed: BTreeMap::new() };
+            *standing = Standing { known: true, holders: vec![by.clone()], ..Standing::default() };
         }
         if broken {
             *standing.missed.entry(by.clone()).or_default() |= ordered;
@@ -161,10 +170,11 @@
     /// A witness has told all that may be on a machine. Lives that are over as of the view that the witness
     /// had taken on bind nothing any more: what they ordered it had confirmed. Former holders that live
     /// stay: one that has not heard of a later grant yet may still announce starts there, and what of it is
-    /// missed here must count.
+    /// missed here must count. Where such a one may not be known, because the machine may have changed hands after the
+    /// others began to count on this controller and before it loaded the records, the word holds only as of now.
     pub fn witnessed(&mut self, machine: &str, over: impl Fn(&Life) -> bool) {
         let standing = self.machines.entry(machine.to_owned()).or_default();
-        standing.known = true;
+        standing.known |= self.since.is_some_and(|since| standing.first_read <= since);
         standing.holders.retain(|life| !over(life));
         standing.missed.retain(|life, _| !over(life));
     }
@@ -295,6 +305,26 @@
         assert!(ledger.listed_for("m", &me, &a), "what a ordered it knows itself");
     }
 
+    /// Guards against a former holder that a newcomer does not know, and that may go on without it.
+    #[test]
+    fn a_witness_binds_no_former_holder_that_a_newcomer_does_not_know() {
+        let (b, me) = (life("b"), life("me"));
+        for (read, listed) in [(10, true), (11, false)] {
+            let mut ledger = Ledger::new();
+            ledger.loaded(12);
+            ledger.first_read("m", b.clone(), read);
+            ledger.member_since(Some(10));
+            ledger.heard(&b, 1, true, 12);
+            ledger.told("m", &b, false);
+            ledger.witnessed("m", |_| false);
+            assert_eq!(ledger.listed("m", &me), listed, "read as of {read}");
+            ledger.told("m", &b, true);
+            assert!(ledger.listed("m", &me), "its holder knows it in full");
+            ledger.granted("m", Some(me.clone()));
+            assert!(ledger.listed("m", &me));
+        }
+    }
+
     /// Guards jobs against waiting for a controller that ended before anybody had heard it, and the books
     /// against one that ended after it had gone on without this controller.
     #[test]
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use marblewalk_recovery::{Announcements, Ledger};
+use marblewalk_recovery::{Announcements, Ledger, Life};
 
 use crate::bookkeeping::blocks::Changes;
 use crate::bookkeeping::records::{self, LeaderRecord, TaskSet};
@@ -325,11 +325,7 @@
             let now = self.now;
             let holder = (!row.owner.is_empty()).then(|| (row.owner.clone(), row.node));
             if !self.machines.contains_key(&row.machine) {
-                self.ledger.granted(&row.machine, holder.clone());
-                // Its record could not be read when the jobs were taken over.
-                if self.taking_over && holder.is_some() {
-                    self.unresolved.insert(row.machine.clone());
-                }
+                self.learnt_of(&row.machine, holder.clone(), stamp);
             }
             let Some(machine) = self.machines.get_mut(&row.machine) else {
                 let machine = Machine::new(row.clone(), shard, stamp, now, supply);
@@ -373,6 +369,16 @@
         self.place_due = true;
     }
 
+    /// A record of this revision names a machine that was in none that this controller has read.
+    fn learnt_of(&mut self, name: &str, holder: Option<Life>, revision: u64) {
+        let Some(holder) = holder else { return self.ledger.granted(name, None) };
+        self.ledger.first_read(name, holder, revision);
+        // Its record could not be read when the jobs were taken over.
+        if self.taking_over {
+            self.unresolved.insert(name.to_owned());
+        }
+    }
+
     /// Takes back starts on a machine that were planned but never sent.
     pub(super) fn drop_planned(&mut self, name: &str, which: impl Fn(&TaskId) -> bool) {
         let Some(machine) = self.machines.get(name) else { return };
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -26,6 +26,7 @@
 mod mistakes;
 mod neglect;
 mod network;
+mod newcomer_orders;
 mod odd;
 mod outages;
 mod overload;
--- a/src/coordination/simulation/start_orders.rs
+++ b/src/coordination/simulation/start_orders.rs
@@ -33,7 +33,7 @@
 }
 
 /// Tasks of a job that have their image, and their machines.
-fn running(world: &World, job: &str) -> Vec<(TaskId, String)> {
+pub(super) fn running(world: &World, job: &str) -> Vec<(TaskId, String)> {
     let all = world.workers.iter().flat_map(|(name, w)| w.tasks.iter().map(move |(id, t)| (id, t, name)));
     let here = all.filter(|(id, t, _)| id.job == job && t.is_here());
     here.map(|(id, _, name)| (id.clone(), name.clone())).collect()
