A controller vouches for what it announced only once those it goes on without must have read so

Symptom for callers: a task ran on one machine and was started on another (ran_twice), seen in the seeded cluster alone.

Cause: a newcomer asks a witness what may be on a machine once all others have said that what they announced before the newcomer's view is confirmed. A controller said so also when it had just recorded the witness, and the newcomer, as uninformed and ordered without them. The witness had not read that record yet, knew of nothing that it had missed, and testified that all was known of the machine. The newcomer took the job over and started its tasks again, while the first controller and the machine went on.

Why it works: one that is not waited for counts as accounted for a lease's term after its record has been in force. By then it has read the record and testifies to nothing that it missed, or it may not act, and one that may not act answers no such question. In the usual order, everybody confirming, nothing changes.

--- a/crates/recovery/src/announcements.rs
+++ b/crates/recovery/src/announcements.rs
@@ -25,8 +25,8 @@
 #[derive(Debug, Default)]
 pub struct Announcements {
     peers: BTreeMap<Life, Peer>,
-    /// Recorded as uninformed: not waited for.
-    excused: BTreeSet<Life>,
+    /// Recorded as uninformed, and since when the record has been in force: not waited for.
+    excused: BTreeMap<Life, Micros>,
     last: u64,
     /// The revision of the view that was last taken on, and the last announcement before it.
     entered: (u64, u64),
@@ -74,24 +74,29 @@
 
     /// Starts announced by messages up to this number may be ordered.
     pub fn settled(&self) -> u64 {
-        let relied_on = self.peers.iter().filter(|(life, _)| !self.excused.contains(*life));
+        let relied_on = self.peers.iter().filter(|(life, _)| !self.excused.contains_key(*life));
         relied_on.map(|(_, peer)| peer.confirmed).min().unwrap_or(u64::MAX)
     }
 
     /// The view before which nothing was announced that is not confirmed; 0 while something may be.
-    pub fn cleared(&self) -> u64 {
+    ///
+    /// Whoever is told this may rely on what any other controller knows. So one that is not waited for must know that it is
+    /// not: `term` after the record has been in force it has read so, or acts no more.
+    pub fn cleared(&self, now: Micros, term: Micros) -> u64 {
         let (view, last) = self.entered;
-        if self.settled() >= last { view } else { 0 }
+        let knows_it = |life: &Life| self.excused.get(life).is_some_and(|since| now.since(*since) >= term);
+        let accounted = self.peers.iter().all(|(life, peer)| peer.confirmed >= last || knows_it(life));
+        if accounted { view } else { 0 }
     }
 
     /// Somebody who is waited for has not confirmed everything.
     pub fn owed(&self) -> bool {
-        self.peers.iter().any(|(life, peer)| peer.owes.is_some() && !self.excused.contains(life))
+        self.peers.iter().any(|(life, peer)| peer.owes.is_some() && !self.excused.contains_key(life))
     }
 
     /// Those not waited for.
-    pub fn excused(&self) -> &BTreeSet<Life> {
-        &self.excused
+    pub fn excused(&self) -> BTreeSet<Life> {
+        self.excused.keys().cloned().collect()
     }
 
     /// The record that is wanted: those already excused that are not to be relied on again, and those
@@ -102,23 +107,26 @@
         let wanted: BTreeSet<Life> = self
             .peers
             .iter()
-            .filter(|(life, peer)| if self.excused.contains(*life) { !steady(peer) } else { late(peer) })
+            .filter(|(life, peer)| if self.excused.contains_key(*life) { !steady(peer) } else { late(peer) })
             .map(|(life, _)| life.clone())
             .collect();
         // One that is no longer a member need not be struck off for its own sake.
-        let stands = self.excused.iter().filter(|life| self.peers.contains_key(*life));
+        let stands = self.excused.keys().filter(|life| self.peers.contains_key(*life));
         (!stands.eq(wanted.iter())).then_some(wanted)
     }
 
     /// A record is about to be written. Whoever it leaves out is relied on from now on, for it may be
     /// in force at any moment.
     pub fn record_sent(&mut self, record: &BTreeSet<Life>) {
-        self.excused.retain(|life| record.contains(life));
+        self.excused.retain(|life, _| record.contains(life));
     }
 
     /// The record is in force: those it names need not confirm.
-    pub fn record_holds(&mut self, record: &BTreeSet<Life>) {
-        self.excused = record.clone();
+    pub fn record_holds(&mut self, now: Micros, record: &BTreeSet<Life>) {
+        self.record_sent(record);
+        for life in record {
+            self.excused.entry(life.clone()).or_insert(now);
+        }
     }
 }
 
@@ -126,6 +134,9 @@
 mod tests {
     use super::*;
 
+    /// How long a controller may act without having read what has changed.
+    const TERM: Micros = Micros::from_secs(15);
+
     fn life(name: &str) -> Life {
         (name.to_owned(), 1)
     }
@@ -150,11 +161,11 @@
         assert!(a.settled() >= 5);
         a.members(Micros::ZERO, 20, [life("b"), life("c"), life("d")]);
         assert!(a.settled() < 5, "a new controller knows nothing yet");
-        assert_eq!(a.cleared(), 0, "what was announced before the view is not confirmed");
+        assert_eq!(a.cleared(Micros::ZERO, TERM), 0, "what was announced before the view is not confirmed");
         a.confirmed(Micros::ZERO, &life("c"), 7);
         a.announced(Micros::ZERO, 8);
         a.confirmed(Micros::ZERO, &life("d"), 5);
-        assert_eq!(a.cleared(), 20, "a later announcement holds the answer back");
+        assert_eq!(a.cleared(Micros::ZERO, TERM), 20, "a later announcement holds the answer back");
         a.members(Micros::ZERO, 30, []);
         assert_eq!(a.settled(), u64::MAX, "nobody is left to know");
     }
@@ -171,7 +182,7 @@
         assert_eq!(record, [life("c")].into());
         a.record_sent(&record);
         assert!(a.settled() < 1, "the record does not hold yet");
-        a.record_holds(&record);
+        a.record_holds(Micros::from_secs(2), &record);
         assert_eq!(a.settled(), 1);
         assert_eq!(a.wanted_record(Micros::from_secs(9), second), None);
         a.confirmed(Micros::from_secs(9), &life("c"), 1);
@@ -184,4 +195,22 @@
         a.record_sent(&record);
         assert_eq!(a.settled(), 1, "the record may be gone already");
     }
+
+    /// Guards a newcomer against a witness that does not know that something was ordered without it.
+    #[test]
+    fn what_one_was_not_told_is_cleared_only_when_it_must_have_read_so() {
+        let (mut a, at) = (two(), Micros::from_secs(2));
+        a.announced(Micros::ZERO, 1);
+        a.confirmed(Micros::ZERO, &life("b"), 1);
+        let record = [life("c")].into();
+        a.record_sent(&record);
+        a.record_holds(at, &record);
+        a.members(at, 20, [life("b"), life("c")]);
+        assert_eq!(a.settled(), 1, "it is waited for");
+        assert_eq!(a.cleared(at, TERM), 0, "it may not have read the record");
+        let both = [life("b"), life("c")].into();
+        a.record_sent(&both);
+        a.record_holds(at + Micros::from_secs(1), &both);
+        assert_eq!(a.cleared(at + TERM, TERM), 20, "another record has taken its time away");
+    }
 }
--- a/src/coordination/simulation/newcomer_orders.rs
+++ b/src/coordination/simulation/newcomer_orders.rs
@@ -5,6 +5,7 @@
 use super::meetings_limits::{end_some, of_team, owned_by, there, until};
 use super::second_starts::grant_to;
 use super::start_orders::{cut_off, running, with_heir};
+use super::takeovers::array;
 use super::*;
 
 /// Takes out of the queue what is under way and of this kind.
@@ -36,13 +37,13 @@
     true
 }
 
-/// A job with twice as many tasks as the owner's machines take, that passes to the heir, and one of these machines, once
-/// they are full.
-fn full(world: &mut World, owner: usize, heir: usize) -> (String, String) {
+/// A job of this number with more tasks than all machines take, and one machine of the controller that owns it, once all
+/// of that controller's are full.
+fn full(world: &mut World, number: u32, owner: usize) -> (String, String) {
     let c = world.controllers[owner].as_ref().unwrap();
     let held: Vec<String> = c.machines.iter().filter(|(_, m)| c.owns(m)).map(|(n, _)| n.clone()).collect();
     let room = 16 * held.len();
-    let job = of_team(world, passing_on(owner, heir).next().unwrap(), "blue", 3 * 16 * 14);
+    let job = of_team(world, number, "blue", 3 * 16 * 14);
     assert!(until(world, Micros::from_secs(12), |w| there(w, &job) >= room), "{}", there(world, &job));
     let c = world.controllers[owner].as_ref().unwrap();
     let held =
@@ -88,7 +89,7 @@
         let (mut world, owner, newcomer) = with_heir(seed);
         let own = owned_by(newcomer).next().unwrap();
         of_team(&mut world, own, "green", 2);
-        let (job, machine) = full(&mut world, owner, newcomer);
+        let (job, machine) = full(&mut world, passing_on(owner, newcomer).next().unwrap(), owner);
         // The newcomer's load is held up until the machine has changed hands.
         world.crash_for(newcomer, Micros::from_millis(200));
         let load = |what: &Happening| {
@@ -144,3 +145,107 @@
         ends_unwitnessed(&mut world, owner, newcomer);
     }
 }
+
+/// A controller ends for long, and its registration with it; once the view is without it.
+fn is_away(world: &mut World, away: usize) {
+    world.controllers[away] = None;
+    world.lives[away] += 1;
+    let node = records::node(&world.settings[away].member);
+    world.store.commit(Transaction { conditions: Vec::new(), writes: vec![Write::delete(node)] });
+    let gone = |w: &World| w.controllers.iter().flatten().all(|c| c.view.members.len() == 2);
+    assert!(until(world, Micros::from_secs(4), gone), "it is still in the view");
+}
+
+/// A job that only two machines take, which its tasks fill: these machines, both held by this controller.
+fn on_two_machines(world: &mut World, number: u32, held_by: usize) -> (String, [String; 2]) {
+    let machines = [world.add_machine("c16", "west", false), world.add_machine("c16", "west", false)];
+    let spec = array(world, number, 3 * 16);
+    let job = spec.id.clone();
+    world.submit(JobSpec { team: "blue".into(), zone: Some("west".into()), spot: false, ..spec });
+    let all = until(world, Micros::from_secs(40), |w| there(w, &job) == 32);
+    assert!(all, "{} begun\n{}", there(world, &job), world.describe(&job));
+    for machine in &machines {
+        grant_to(world, machine, held_by);
+        assert!(until(world, Micros::from_secs(3), |w| holds(w, held_by, machine)), "{machine} is another's");
+    }
+    (job, machines)
+}
+
+/// Whether a controller holds a machine and knows all that is on it.
+fn holds(world: &World, by: usize, machine: &str) -> bool {
+    let Some(c) = world.controllers[by].as_ref() else { return false };
+    c.machines.get(machine).is_some_and(|m| c.owns(m) && m.resolved)
+}
+
+/// One status of a controller reaches another that has never heard it, and what that one answers is lost.
+fn one_status(world: &mut World, from: usize, to: usize) {
+    let apart = Spell::Apart(from, to);
+    world.spells.retain(|(spell, ..)| *spell != apart);
+    let member = world.settings[from].member.clone();
+    let heard = |w: &World| w.controllers[to].as_ref().unwrap().peers.contains_key(&member);
+    let end = world.now + Micros::from_secs(3);
+    while !heard(world) {
+        assert!(world.now < end, "nothing is heard");
+        world.run(world.now + Micros::from_millis(1));
+    }
+    world.befalls(apart, Micros::MAX);
+    take_out(world, |what| {
+        let Happening::ToController { node, event: Event::Peer(_, message), .. } = what else { return false };
+        *node == from && matches!(message, PeerMessage::Again)
+    });
+}
+
+/// Guards against `ran_twice`: a controller goes on without another, and a newcomer asks that other before it has read so.
+/// What it never heard of it testifies not to be there, and the newcomer, which takes the job over, starts it again.
+#[test]
+fn a_witness_that_has_not_read_that_it_is_uninformed_vouches_for_nothing() {
+    let mut met = 0;
+    for seed in 760..768 {
+        let (mut world, holder, newcomer) = with_heir(seed);
+        let witness = world.leader().unwrap();
+        is_away(&mut world, newcomer);
+        let number = passing_on(newcomer, holder).next().unwrap();
+        let (job, [room, machine]) = on_two_machines(&mut world, number, witness);
+        // The witness knows all that is on a machine that it gives to the holder, and hears nothing of that one after it.
+        grant_to(&mut world, &machine, holder);
+        world.befalls(Spell::Apart(holder, witness), Micros::MAX);
+        world.befalls(Spell::Apart(holder, newcomer), Micros::MAX);
+        let token = |w: &World, by: usize| w.controllers[by].as_ref().unwrap().machines[&machine].row.token;
+        let held = |w: &World| holds(w, holder, &machine) && token(w, holder) == token(w, witness);
+        assert!(until(&mut world, Micros::from_secs(3), held), "seed {seed}: not granted");
+        // The newcomer is in the view, of which the holder does not read yet.
+        world.befalls(Spell::WatchHangs(holder), Micros::MAX);
+        world.at(world.now, Happening::Start(newcomer));
+        let three = |w: &World| w.controllers[witness].as_ref().unwrap().view.members.len() == 3;
+        assert!(until(&mut world, Micros::from_secs(4), three), "seed {seed}: no view names it");
+        grant_to(&mut world, &room, newcomer);
+        let has_room = |w: &World| holds(w, newcomer, &room);
+        assert!(until(&mut world, Micros::from_secs(4), has_room), "seed {seed}: it has no room");
+        // The leader may have moved the other machine too, to the job's new owner.
+        let granted = world.controllers[witness].as_ref().unwrap().machines[&machine].row.owner.clone();
+        if granted != world.settings[holder].member {
+            continue;
+        }
+        met += 1;
+        // From here on the witness reads nothing either. The holder starts tasks of which nobody else hears.
+        world.befalls(Spell::WatchHangs(witness), Micros::MAX);
+        let before: BTreeSet<TaskId> = world.workers[&machine].tasks.keys().cloned().collect();
+        end_some(&mut world, &job, u32::MAX);
+        let begun = |w: &World| {
+            let all = running(w, &job).into_iter();
+            all.filter(|(id, on)| *on == machine && !before.contains(id)).count()
+        };
+        let all = until(&mut world, Micros::from_secs(10), |w| begun(w) == 16);
+        assert!(all, "seed {seed}: {} begun", begun(&world));
+        // It reads of the newcomer, and goes on without that one too.
+        world.spells.retain(|(spell, ..)| *spell != Spell::WatchHangs(holder));
+        let alone = |w: &World| w.controllers[holder].as_ref().unwrap().announcements.excused().len() == 2;
+        assert!(until(&mut world, Micros::from_secs(3), alone), "seed {seed}: it waits for somebody");
+        // What it said of these tasks is lost.
+        world.run(world.now + Micros::from_millis(1_500));
+        one_status(&mut world, holder, newcomer);
+        // The judge of the rules sees each start.
+        world.run(world.now + Micros::from_secs(10));
+    }
+    assert!(met >= 4, "only {met} of 8 came to it");
+}
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -129,6 +129,10 @@
         if self.nodes.get(&asker.0) != Some(&asker.1) {
             return;
         }
+        // Others may have gone on without a controller that has not read the changes for so long.
+        if !self.entitled() {
+            return;
+        }
         let me = self.life();
         // Of others their present holders tell.
         let open = self.machines.iter().filter(|(_, m)| !(m.unused() || m.resolved && self.holds(m)));
@@ -184,12 +188,18 @@
         self.announcements.settled()
     }
 
+    /// The view before which this controller announced nothing that another which may act does not know of, or does not
+    /// know to have missed.
+    pub(super) fn cleared(&self) -> u64 {
+        self.announcements.cleared(self.now, self.lease_term)
+    }
+
     /// Another controller has confirmed what this one has announced.
     pub(super) fn confirmed(&mut self, by: Life, sequence: u64) {
         let before = self.announcements.settled();
-        let cleared = self.announcements.cleared();
+        let cleared = self.cleared();
         self.announcements.confirmed(self.now, &by, sequence);
-        if self.announcements.cleared() != cleared {
+        if self.cleared() != cleared {
             // Whoever takes jobs over waits for this.
             self.status_due = Some(self.now);
         }
@@ -231,8 +241,7 @@
         };
         let wanted = self.announcements.wanted_record(self.now, PATIENCE);
         // A change of which nothing was heard may have been made all the same.
-        let unsure =
-            || (stored != *self.announcements.excused()).then(|| self.announcements.excused().clone());
+        let unsure = || (stored != self.announcements.excused()).then(|| self.announcements.excused());
         let Some(record) = wanted.or_else(unsure) else { return };
         let peers = record.iter().cloned().collect();
         let Ok(value) = serde_json::to_value(UninformedRecord { node, peers }) else { return };
@@ -254,7 +263,7 @@
             if self.uninformed.1 < revision {
                 self.uninformed = (UninformedRecord { node, peers }, revision);
             }
-            self.announcements.record_holds(&record);
+            self.announcements.record_holds(self.now, &record);
             self.speak();
         }
     }
--- a/src/coordination/words.rs
+++ b/src/coordination/words.rs
@@ -182,7 +182,7 @@
             single: self.statuses_to_single,
             whole: false,
             confirm: false,
-            cleared: self.announcements.cleared(),
+            cleared: self.cleared(),
             clock: self.now,
             applied: self.applied,
             stamp: self.lease.as_ref().map_or(0, |l| l.stamp),
