--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -23,6 +23,7 @@
 mod meetings_looks;
 mod meetings_machines;
 mod meetings_room;
+mod meetings_starts;
 mod mistakes;
 mod neglect;
 mod network;
--- a/src/coordination/simulation/contradictions.rs
+++ b/src/coordination/simulation/contradictions.rs
@@ -1,7 +1,7 @@
 //! Conclusions that a task is not on a machine, against what the machines and their holders say afterwards. Guards against
 //! the near misses of the known failure `ran_twice` staying unseen.
 
-use super::meetings_machines::starting;
+use super::meetings_starts::starting;
 use super::second_starts::{grant_to, other_than, planned};
 use super::*;
 use crate::coordination::removal::Removal;
--- a/src/coordination/simulation/second_starts.rs
+++ b/src/coordination/simulation/second_starts.rs
@@ -1,7 +1,7 @@
 //! Starts that could be made a second time elsewhere. Guards against the known failure `ran_twice` on selatferi-hq-hunt, day
 //! apart: a task ran on one machine and was started on another.
 
-use super::meetings_machines::{orders, starting};
+use super::meetings_starts::{orders, starting};
 use super::*;
 use crate::coordination::model::{Machine, Pending};
 use crate::protocol::worker::DirectOrders;
