--- a/src/coordination/simulation/newcomer_orders.rs
+++ b/src/coordination/simulation/newcomer_orders.rs
@@ -61,8 +61,8 @@
     }
 }
 
-/// A controller and its registration end, and until it is gone from the view and for two seconds more nothing that a witness
-/// says reaches the heir. The judge of the rules sees each start.
+/// A controller and its registration end, and for four seconds, by when it is gone from the view, nothing that a witness says
+/// reaches the heir. The judge of the rules sees each start.
 fn ends_unwitnessed(world: &mut World, owner: usize, heir: usize) {
     world.crash_for(owner, Micros::from_secs(60));
     let node = records::node(&world.settings[owner].member);
