--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -8,8 +8,8 @@
 
 type Outcome = Result<(Rig, Option<String>), String>;
 
-pub fn play(case: &str, folder: &Path, command: &str, trouble: bool) -> Outcome {
-    let start = |site: Site| Rig::start(site, folder, command, trouble);
+pub fn play(case: &str, record: &Path, command: &str, trouble: bool) -> Outcome {
+    let start = |site: Site| Rig::start(site, record, command, trouble);
     match case {
         "guarantee" => guarantee(start(maapoue())?),
         "kept" => kept(start(selatferi())?),
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,6 @@
 //! Plays one case of the review: real controllers on loopback, with stand-ins of all around them.
 //!
-//! Arguments: the case, the folder of the case, the command that starts a controller. `TROUBLE=0` in the environment
+//! Arguments: the case, the file of its record, the command that starts a controller. `TROUBLE=0` in the environment
 //! leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod cases;
@@ -41,10 +41,10 @@
 
 impl Rig {
     /// Starts all stand-ins and three controllers, and waits until each can take requests.
-    pub fn start(site: Site, case: &Path, command: &str, trouble: bool) -> Result<Rig, String> {
+    pub fn start(site: Site, record: &Path, command: &str, trouble: bool) -> Result<Rig, String> {
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).map_err(|e| e.to_string())?;
-        let record = File::create(case.join("record.txt")).map_err(|e| e.to_string())?;
+        let record = File::create(record).map_err(|e| e.to_string())?;
         let world = World::new(record, site.types, site.times, site.boot_s, site.list_lag_s);
         let world: Shared = Arc::new(Mutex::new(world));
         let cloud = fleet::serve_cloud(&world);
@@ -131,11 +131,11 @@
     }
 
     /// Copies the controllers' logs beside the record, if `KEEP_LOGS` is set.
-    fn keep_logs(&self, case: &Path) {
+    fn keep_logs(&self, record: &Path) {
         if std::env::var_os("KEEP_LOGS").is_some() {
             for n in 0..3 {
                 let name = format!("quarry-{n}.log");
-                let _ = std::fs::copy(self.temporary.join(&name), case.join(&name));
+                let _ = std::fs::copy(self.temporary.join(&name), record.with_file_name(&name));
             }
         }
     }
@@ -149,11 +149,11 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, folder, command] = &args[..] else {
-        eprintln!("arguments: CASE FOLDER COMMAND");
+    let [_, case, record, command] = &args[..] else {
+        eprintln!("arguments: CASE RECORD COMMAND");
         std::process::exit(2);
     };
-    let folder = PathBuf::from(folder);
+    let record = PathBuf::from(record);
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     // A case that takes longer could not run.
     thread::spawn(|| {
@@ -161,7 +161,7 @@
         eprintln!("the case takes too long");
         std::process::exit(2);
     });
-    let outcome = cases::play(case, &folder, command, trouble);
+    let outcome = cases::play(case, &record, command, trouble);
     let code = match outcome {
         Ok((rig, broken)) => {
             let mut rig = rig;
@@ -172,7 +172,7 @@
             let verdict = broken.as_deref().unwrap_or("the rule held");
             rig.note(&format!("verdict: {verdict}"));
             println!("{case}: {verdict}");
-            rig.keep_logs(&folder);
+            rig.keep_logs(&record);
             drop(rig);
             i32::from(broken.is_some())
         }
