--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
 [ -n "$command" ] && [ -x target/review/rig ] || exit 2
-exec target/review/rig guest review/1 "$command"
+exec target/review/rig guarantee review/1 "$command"
