--- a/review/rig/controllers.rs
+++ b/review/rig/controllers.rs
@@ -80,7 +80,8 @@
                     addrs[other].1
                 );
             }
-            text += &format!("[external]\ncloud = \"{}\"\nstate = \"{}\"\n", platform.cloud, platform.states[n]);
+            text +=
+                &format!("[external]\ncloud = \"{}\"\nstate = \"{}\"\n", platform.cloud, platform.states[n]);
             text += &platform.params;
             let settings = folder.join(format!("quarry-{n}.toml"));
             std::fs::write(&settings, text).expect("settings");
