Starts: an attempt is forgotten only under a token above that of its call

A task whose attempt had failed and run elsewhere since was started again on its first machine, by a copy of the direct call that had started it there: the call had been carried out and answered 5.4 s before.

Cause: `forget` makes a worker lose an attempt, and after it a repeated start is carried out like a new one. Only starts whose call had no answer were guarded (starts_in_call, token_renewal_needed). The forget of an answered one came under the token and session of its start, so the worker had nothing to tell the copy from a new start by.

Change: a grant gives its owner a range of 4,096 fencing tokens, and the owner raises the token within it, without a write, where an answer forgets an attempt that a direct call under the present token may have started. The worker takes token and forget together or neither, and rejects the copy from then on. A call in flight puts the raise off, as it would be rejected. Starts in answers need no fence: a worker drops late answers. Rows say by a flag whether they have a range; rows of earlier versions have one token, and so has a used-up range: then a new grant is asked for, at once for attempts that must run again, for completed ones when 64 have piled up. The stored counter is at the range's end, so what a leader of an earlier version grants is above it, and it passes over the flag.

--- a/src/bookkeeping/blocks.rs
+++ b/src/bookkeeping/blocks.rs
@@ -17,6 +17,8 @@
 const SPOT_FLAG: u8 = 1;
 /// Flag of a row: the machine is to be returned to the cloud.
 const RETURNING_FLAG: u8 = 2;
+/// Flag of a row: the grant comprises a range of tokens.
+const TOKEN_RANGE_FLAG: u8 = 4;
 /// Upper bound of the encoded size of the numbers in a row: three name indices of up to 4 digits, a registration and a
 /// token of up to 12 digits, each with a comma, and the flags.
 const MAX_NUMBERS_BYTES: usize = 3 * 5 + 2 * 13 + 1;
@@ -64,6 +66,7 @@
             registration: self.4,
             returning: self.6 & RETURNING_FLAG != 0,
             token: self.5,
+            has_token_range: self.6 & TOKEN_RANGE_FLAG != 0,
         }
     }
 }
@@ -212,7 +215,10 @@
                 names.len() - 1
             });
         }
-        let flags = if r.spot { SPOT_FLAG } else { 0 } | if r.returning { RETURNING_FLAG } else { 0 };
+        let flag = |set: bool, flag: u8| if set { flag } else { 0 };
+        let flags = flag(r.spot, SPOT_FLAG)
+            | flag(r.returning, RETURNING_FLAG)
+            | flag(r.has_token_range, TOKEN_RANGE_FLAG);
         let [kind, zone, owner] = indices;
         stored.push(StoredRow(Cow::Borrowed(&r.machine), kind, zone, owner, r.registration, r.token, flags));
     }
@@ -249,6 +255,7 @@
             registration: rng.random_range(0..1 << 39),
             returning: rng.random_bool(0.1),
             token: rng.random_range(0..1 << 39),
+            has_token_range: rng.random_bool(0.5),
         };
         (0..rng.random_range(0..300)).map(|n| row(n, rng)).collect()
     }
@@ -327,6 +334,14 @@
         }
     }
 
+    /// Guards against tokens beyond a grant of an earlier version, which comprises a single one.
+    #[test]
+    fn rows_of_earlier_versions_have_a_single_token() {
+        let rows =
+            decode(json!({"v": 2, "names": ["", "n-1"], "rows": [["m-1", 0, 0, 1, 7, 9, 3]]})).unwrap();
+        assert_eq!((rows[0].token, rows[0].last_token()), (9, 9));
+    }
+
     #[test]
     fn unreadable_blocks_are_rejected_with_the_reason() {
         assert_eq!(decode(json!({"v": 3, "names": [], "rows": []})), Err(BlockError::UnknownVersion(3)));
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -14,7 +14,7 @@
 pub const LEADER_KEY: &str = "c/leader";
 /// Key of the [`ViewRecord`].
 pub const VIEW_KEY: &str = "c/view";
-/// Key of the last fencing token that was issued for a machine.
+/// Key of the highest fencing token that was granted for a machine.
 pub const TOKEN_COUNTER_KEY: &str = "c/helm";
 /// Key of the [`QuotaRecord`].
 pub const QUOTA_KEY: &str = "c/quota";
@@ -125,8 +125,29 @@
     /// The machine is to be returned to the cloud: no more tasks are started on it.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub returning: bool,
+    /// The grant's fencing token, or the first of its range.
     #[serde(rename = "h")]
     pub token: u64,
+    /// The grant comprises the [`TOKENS_PER_GRANT`] tokens from `token` on. Rows of earlier versions have one token.
+    #[serde(rename = "k", default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_token_range: bool,
+}
+
+/// Number of fencing tokens in the range of a grant. It is part of the stored format: a row only says that it has one.
+pub const TOKENS_PER_GRANT: u64 = 1 << 12;
+
+impl BlockRow {
+    /// Gives the row tokens above all granted so far, a range or a single one. `counter`: the highest of these.
+    pub fn grant_tokens(&mut self, counter: &mut u64, range: bool) {
+        self.token = *counter + 1;
+        self.has_token_range = range;
+        *counter = self.last_token();
+    }
+
+    /// The highest token that the grant's owner may use.
+    pub fn last_token(&self) -> u64 {
+        if self.has_token_range { self.token + (TOKENS_PER_GRANT - 1) } else { self.token }
+    }
 }
 
 /// The final state of a job.
--- a/src/coordination/direct_calls.rs
+++ b/src/coordination/direct_calls.rs
@@ -41,7 +41,7 @@
             }
             // A worker that has never sent a message is most likely in its first session. If not, its reply contains
             // the session.
-            let (session, token) = (m.session.max(1), m.row.token);
+            let (session, token) = (m.session.max(1), m.token);
             let mut orders = Vec::new();
             let silent = !m.unresponsive && m.last_received_at.is_some_and(|at| now.since(at) > overdue);
             if m.resolved && (silent || m.delivery.is_not_receiving()) {
@@ -68,6 +68,7 @@
                     if let Some(permit) = gate.permit(name, id, t, &mut self.counters) {
                         t.pending =
                             Some(PendingStart::SentDirectly { session, token, permit, repeated: None });
+                        t.highest_call_token = Some(token);
                         t.started_at = now;
                         self.counters.starts += 1;
                         tracing::debug!(
@@ -103,7 +104,7 @@
         let Some(m) = self.machines.get(name) else { return };
         // A reply to a call of a former registration or grant is dropped: it proves nothing about the other orders that
         // were sent under it.
-        if m.row.token != token || !self.owns(m) {
+        if !m.has_used_token(token) || !self.owns(m) {
             self.counters.replies_misdirected += 1;
             return;
         }
@@ -173,7 +174,7 @@
             && let Some(m) = self.machines.get(name)
         {
             let newer = (report.session, report.tally) > (m.session, m.tally);
-            if newer && report.machine == *name && report.token <= m.row.token && self.entitled() {
+            if newer && report.machine == *name && report.token <= m.token && self.entitled() {
                 self.apply_report(*report, true);
             }
         }
--- a/src/coordination/fleet_scaling.rs
+++ b/src/coordination/fleet_scaling.rs
@@ -125,6 +125,7 @@
             registration: 0,
             returning: false,
             token: 0,
+            has_token_range: false,
         };
         let granted = self.machines.get(&machine).is_some_and(|m| !m.never_granted());
         if !granted && lead.unrecorded_machines.insert(machine, (row, now)).is_none() {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -228,6 +228,7 @@
             return false;
         }
         let mut token = self.token_counter.0;
+        let grants_ranges = self.grants_token_ranges();
         // A row grows when its machine is granted, and a block that has become too long could never be written
         // again. So each row counts with the largest size that it may reach.
         let names_bytes = self.max_names_bytes(&added) + blocks::FRAME_BYTES;
@@ -258,8 +259,7 @@
                         row.returning = true;
                         continue;
                     }
-                    token += 1;
-                    row.token = token;
+                    row.grant_tokens(&mut token, grants_ranges);
                     row.owner = to.clone();
                     row.registration = self.registrations.get(to).copied().unwrap_or(0);
                 }
@@ -273,8 +273,7 @@
                 continue;
             }
             if !row.owner.is_empty() {
-                token += 1;
-                row.token = token;
+                row.grant_tokens(&mut token, grants_ranges);
             }
             let row_bytes = blocks::max_row_bytes(&row.machine);
             let open = block_bytes.iter().find(|(n, used)| {
@@ -333,6 +332,15 @@
         true
     }
 
+    /// Whether grants comprise a range of tokens.
+    fn grants_token_ranges(&self) -> bool {
+        #[cfg(test)]
+        if self.grants_single_tokens {
+            return false;
+        }
+        true
+    }
+
     /// Upper bound for the size of the names in a block: those of all controllers, machine types and zones.
     fn max_names_bytes(&self, added: &[BlockRow]) -> usize {
         let others = self.settings.members.iter().map(|m| m.member.as_str());
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 mod final_states;
 mod fleet_demand;
 mod fleet_scaling;
+mod forgetting;
 mod gangs;
 mod knowledge;
 mod leader;
@@ -299,6 +300,9 @@
     /// Gives each job a volume of all its unfinished tasks, whatever the leader's volumes are.
     #[cfg(test)]
     pub(crate) ignore_leader_volumes: bool,
+    /// Grants a single token with each machine, as earlier versions did.
+    #[cfg(test)]
+    pub(crate) grants_single_tokens: bool,
 }
 
 impl Controller {
@@ -402,6 +406,8 @@
             skip_confirmations: false,
             #[cfg(test)]
             ignore_leader_volumes: false,
+            #[cfg(test)]
+            grants_single_tokens: false,
             settings,
             tuning,
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -224,6 +224,8 @@
     pub need: Resources,
     /// The start, until the machine has confirmed it.
     pub pending: Option<PendingStart>,
+    /// Highest token of the direct calls that may have carried the start under the present grant; none if no call did.
+    pub highest_call_token: Option<u64>,
     /// Number of the status that announced the start to the other controllers; 0 if none has.
     pub announced_in_status: u64,
     /// Set when the task is to be stopped: the time it has to save its state.
@@ -269,6 +271,8 @@
 #[derive(Debug)]
 pub struct Machine {
     pub row: BlockRow,
+    /// Fencing token of the orders to the machine: the first of the present grant, or a later one of its range.
+    pub token: u64,
     /// Number of the block record that contains `row`.
     pub shard: usize,
     /// Revision of the present grant.
@@ -337,6 +341,7 @@
 impl Machine {
     pub fn new(row: BlockRow, shard: usize, grant_revision: u64, now: Micros, supply: Resources) -> Machine {
         Machine {
+            token: row.token,
             row,
             shard,
             grant_revision,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -382,6 +382,7 @@
             cause: None,
             need,
             pending: Some(PendingStart::Planned(permit)),
+            highest_call_token: None,
             announced_in_status: 0,
             stop_grace: None,
             stop_sent: false,
--- a/src/coordination/removal.rs
+++ b/src/coordination/removal.rs
@@ -106,7 +106,7 @@
     fn of(machine: &Machine, task: &PlacedTask, own: bool) -> RemovedTask {
         RemovedTask {
             attempt: task.attempt,
-            token: machine.row.token,
+            token: machine.token,
             session: machine.session,
             state: task.state,
             progress: StartProgress::of(task, own && machine.resolved),
--- a/src/coordination/rentals.rs
+++ b/src/coordination/rentals.rs
@@ -150,6 +150,7 @@
                     registration: 0,
                     returning: false,
                     token: 0,
+                    has_token_range: false,
                 });
                 lead.fleet.machines_to_record.extend(rows);
             }
@@ -262,6 +263,7 @@
                     registration: 0,
                     returning: false,
                     token: 0,
+                    has_token_range: false,
                 });
             }
         }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -360,6 +360,7 @@
             // tokens would be waited for as long as it gets new ones.
             let renewed = (&machine.row.owner, machine.row.registration) == (&row.owner, row.registration)
                 && !machine.resolved;
+            machine.token = row.token;
             machine.row = row;
             machine.grant_revision = revision;
             machine.grant_seen_at = if renewed { machine.grant_seen_at } else { now };
--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -32,6 +32,7 @@
 mod quick_restarts;
 mod quota_fault_combinations;
 mod quota_guard;
+mod repeated_orders;
 mod replaced_links;
 mod request_bursts;
 mod rules;
@@ -59,6 +60,7 @@
 use fault_injection::FaultProfile;
 use neglect_check::NeglectMonitor;
 use network::PendingRequest;
+use repeated_orders::AnsweredCall;
 use request_bursts::UserRequest;
 use store::Store;
 use timed_faults::{CALL_TIMEOUT, CommitFault, TimedFault};
@@ -128,6 +130,8 @@
     Orders { node: usize, incarnation: u64, machine: String, orders: DirectOrders, sent_at: Micros },
     /// Direct orders that were delayed arrive at a machine; their sender gets no reply.
     LateOrders { machine: String, orders: DirectOrders, sent_at: Micros },
+    /// Direct orders that were carried out and answered arrive at their machine once more.
+    RepeatedOrders(AnsweredCall),
     /// A transaction that was delayed arrives at the store; its sender gets no reply.
     LateCommit { node: usize, sent_at: Micros, transaction: Transaction },
     /// A fault begins; it lasts until the given time.
@@ -174,6 +178,10 @@
     repeated_starts: u32,
     /// Orders that were executed more than a second after they were sent.
     late_orders: u32,
+    /// Copies of direct orders that arrived after the orders had been carried out and answered.
+    repeated_orders: u32,
+    /// Those of them that the worker took, since token and session still matched.
+    repeated_orders_taken: u32,
     /// Orders rejected by a worker that already had one of their starts from the answer to a report.
     rejected_but_started: u32,
     /// Tasks that had completed and started again.
@@ -308,6 +316,8 @@
     /// Tasks that had not ended when an order stopped them.
     stopped_tasks: Vec<TaskId>,
     neglect_monitor: NeglectMonitor,
+    /// Direct calls with starts that were carried out and answered, if they are kept.
+    answered_calls: Option<Vec<AnsweredCall>>,
 }
 
 impl World {
@@ -417,6 +427,7 @@
             stopped_tasks: Vec::new(),
             checks_answer_times: true,
             neglect_monitor: NeglectMonitor::default(),
+            answered_calls: None,
         };
         world.set_fault_profile(fault_profile);
         for n in 0..size.controllers {
@@ -569,7 +580,11 @@
             }
             SimEvent::Orders { node, incarnation, machine, orders, sent_at } => {
                 let token = orders.token;
+                let call = AnsweredCall { node, machine: machine.clone(), orders: orders.clone(), sent_at };
                 let reply = self.deliver_direct_orders(node, &machine, orders, sent_at);
+                if matches!(reply, DirectReply::Done(_)) {
+                    self.record_answered_call(call);
+                }
                 let unclear = matches!(reply, DirectReply::Unclear);
                 let event = Event::WorkerReply { machine, token, reply };
                 let event = SimEvent::ToController { node, incarnation, event };
@@ -586,6 +601,7 @@
                 let late = self.now.since(sent_at) > Micros::from_secs(1);
                 self.coverage.late_orders += u32::from(any && done && late);
             }
+            SimEvent::RepeatedOrders(call) => drop(self.repeat_orders(call)),
             SimEvent::WorkerTurn(name) => self.advance_worker(name),
             SimEvent::ReportAnswered { machine, session, tally, answer, answered_at } => {
                 self.handle_report_answer(machine, session, tally, answer, answered_at);
--- a/src/coordination/simulation/duplicate_starts.rs
+++ b/src/coordination/simulation/duplicate_starts.rs
@@ -38,7 +38,7 @@
         world.task_run_time = 20 * S..30 * S;
         let start_orders = report_for_orders(&mut world, n, &name, None);
         let c = world.controllers[n].as_ref().unwrap();
-        let (token, session) = (c.machines[&name].row.token, c.machines[&name].session);
+        let (token, session) = (c.machines[&name].token, c.machines[&name].session);
         let sent = world.now;
         world.execute_orders(&name, DirectOrders { token, session, orders: start_orders }, sent);
         let to = another_controller(&world, n);
--- a/src/coordination/simulation/fault_injection.rs
+++ b/src/coordination/simulation/fault_injection.rs
@@ -77,6 +77,8 @@
     /// Probability each time that a user first learns that a job is accepted, done or withdrawn: the user then queries
     /// every controller.
     pub(super) request_bursts: f64,
+    /// Probability per call: orders that a worker has carried out and answered arrive there once more.
+    pub(super) repeated_orders: f64,
 }
 
 impl World {
--- a/src/coordination/simulation/fault_pairs.rs
+++ b/src/coordination/simulation/fault_pairs.rs
@@ -49,6 +49,7 @@
         ("slow_links", |t| t.slow_links = true),
         ("request_bursts", |t| t.request_bursts = 0.5),
         ("invalid_requests", |t| t.invalid_requests = 0.5),
+        ("repeated_orders", |t| t.repeated_orders = 0.4),
     ]
 }
 
--- a/src/coordination/simulation/machine_fault_combinations.rs
+++ b/src/coordination/simulation/machine_fault_combinations.rs
@@ -144,6 +144,7 @@
         owner: String::new(),
         registration: 0,
         token: 0,
+        has_token_range: false,
         ..c.machines[&moved].row.clone()
     };
     let mut grant = |moves: BTreeMap<String, String>| {
--- a/src/coordination/worker_reports.rs
+++ b/src/coordination/worker_reports.rs
@@ -70,7 +70,7 @@
         let newer = (report.session, report.tally) > (machine.session, machine.tally);
         // A report that was overtaken by the worker's reply to a direct call is answered, but not applied.
         let overtaken = report.session == machine.session && report.tally > machine.last_report_tally;
-        if !(newer || overtaken) || report.token > machine.row.token {
+        if !(newer || overtaken) || report.token > machine.token {
             self.counters.reports_stale += 1;
             self.check_report(&report, Evidence::OutOfDate);
             return self.answer(request, Answer::RetryLater(1));
@@ -181,6 +181,8 @@
                 cause: t.cause,
                 need: known.map(|k| k.need).unwrap_or_else(|| self.need_of(&id.job)),
                 pending: None,
+                // How an attempt was started that is not known here is not known either.
+                highest_call_token: same_attempt.map_or(Some(machine.token), |k| k.highest_call_token),
                 announced_in_status: 0,
                 stop_grace: same_attempt.and_then(|k| k.stop_grace),
                 stop_sent: same_attempt.is_some_and(|k| k.stop_sent),
@@ -300,19 +302,7 @@
             .get(name)
             .map(|m| m.tasks.keys().map(|t| (t.job.clone(), self.is_live(&t.job))).collect())
             .unwrap_or_default();
-        let forgettable: Vec<TaskId> = self
-            .machines
-            .get(name)
-            .filter(|m| !m.token_renewal_needed)
-            .map(|m| {
-                m.tasks
-                    .iter()
-                    // A task that is forgotten while its start may still arrive would run again.
-                    .filter(|(id, t)| t.ended() && self.may_forget(id, t) && !m.starts_in_call.contains(id))
-                    .map(|(id, _)| id.clone())
-                    .collect()
-            })
-            .unwrap_or_default();
+        let forgettable = self.tasks_to_forget(name);
         let now = self.now;
         let gate = StartGate::new(self.confirmed_through(), self.active_permit(), &self.jobs);
         let Some(machine) = self.machines.get_mut(name) else {
@@ -349,7 +339,7 @@
             // Repeats a start from a direct call. It has no effect if the call has arrived.
             if t.stop_grace.is_none()
                 && let Some(pending) = &mut t.pending
-                && pending.repeat_in_answer(tally, machine.row.token)
+                && pending.repeat_in_answer(tally, machine.token)
             {
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
@@ -368,16 +358,9 @@
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
         }
-        tracing::trace!(
-            machine = name,
-            token = machine.row.token,
-            session,
-            tally,
-            ?orders,
-            "report answered"
-        );
+        tracing::trace!(machine = name, token = machine.token, session, tally, ?orders, "report answered");
         machine.last_answered = Some(now);
-        proof.answer(machine.row.token, orders)
+        proof.answer(machine.token, orders)
     }
 
     /// Whether the state service has a live record of a job, even one that this version cannot read.
@@ -386,14 +369,6 @@
             || !self.unreadable_keys.is_empty() && self.unreadable_keys.contains(&records::live_job_key(job))
     }
 
-    /// Whether the worker may forget an ended task: a completion must be stored first.
-    fn may_forget(&self, id: &TaskId, task: &PlacedTask) -> bool {
-        match task.cause {
-            Some(Cause::Done) => self.is_stored(id),
-            _ => true,
-        }
-    }
-
     /// Drops planned starts of jobs that have ended or are now owned by another controller.
     pub(super) fn drop_disowned_starts(&mut self, name: &str) {
         let me = self.settings.member.as_str();
