--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -88,7 +88,7 @@
     let stats = &outcome.statistics;
     println!(
         "seed {}: {} broken; {} starts, {} jobs accepted, {} done, {} unfinished, {} cancelled during faults, {} late starts, {} leaders, \
-         peak {}.{}% of a limit, rig late by {} ms",
+         peak {}.{}% of a limit, {} copies of orders, {} of them taken, rig late by {} ms",
         outcome.seed,
         outcome.violations.len(),
         stats.starts,
@@ -100,6 +100,8 @@
         outcome.leaders,
         stats.peak_usage / 10,
         stats.peak_usage % 10,
+        outcome.copies.0,
+        outcome.copies.1,
         outcome.max_delay_ms
     );
     if outcome.port_conflict {
@@ -120,7 +122,8 @@
     }
 }
 
-/// Checks that the run exercised what it has to: usage near a limit, a change of leader, a cancellation under faults.
+/// Checks that the run exercised what it has to: usage near a limit, a change of leader, a cancellation under faults, a
+/// copy of answered orders.
 fn check_coverage(outcome: &Outcome) -> Result<(), String> {
     let stats = &outcome.statistics;
     let missing = |what: &str| Err(format!("seed {}: {what}", outcome.seed));
@@ -133,6 +136,9 @@
     if stats.confirmed_cancellations == 0 {
         return missing("no cancellation was confirmed during the faults");
     }
+    if outcome.copies.0 == 0 {
+        return missing("no copy of answered orders arrived");
+    }
     Ok(())
 }
 
@@ -144,6 +150,7 @@
     let mut running = JoinSet::new();
     let (mut violations_by_rule, mut coverage_failures, mut stalled_runs, mut finished) =
         (BTreeMap::new(), Vec::new(), 0, 0);
+    let mut copies_taken = 0;
     loop {
         while running.len() < arguments.at_once as usize
             && let Some(seed) = pending_seeds.next()
@@ -155,6 +162,7 @@
         finished += 1;
         print_outcome(&outcome);
         println!("  {finished} of {} played", arguments.seeds);
+        copies_taken += outcome.copies.1;
         stalled_runs += u64::from(outcome.max_delay_ms > run::STALL_MS);
         if outcome.port_conflict {
             coverage_failures.push(format!("seed {}: its ports were taken", outcome.seed));
@@ -170,6 +178,9 @@
             let _ = std::fs::remove_dir_all(&outcome.logs);
         }
     }
+    if copies_taken == 0 {
+        coverage_failures.push("no copy of answered orders was taken in any run".to_owned());
+    }
     println!(
         "{finished} seeds; broken by rule: {violations_by_rule:?}; {stalled_runs} runs in which the rig itself stood still"
     );
--- a/tests/soak/rig.rs
+++ b/tests/soak/rig.rs
@@ -60,6 +60,10 @@
         self.is_active(|f| *f == Fault::LateCommands)
     }
 
+    pub fn repeated_commands(&self) -> bool {
+        self.is_active(|f| *f == Fault::RepeatedCommands)
+    }
+
     pub fn late_reports(&self) -> bool {
         self.is_active(|f| *f == Fault::LateReports)
     }
@@ -88,6 +92,9 @@
     pub faults: Mutex<Faults>,
     /// Largest delay of the rig behind its own schedule, in ms.
     max_delay: AtomicU64,
+    /// Copies of answered direct orders that arrived at their workers, and those that the workers took.
+    copies_arrived: AtomicU64,
+    copies_taken: AtomicU64,
 }
 
 impl Rig {
@@ -102,6 +109,8 @@
             fleet: Mutex::new(fleet),
             faults: Mutex::default(),
             max_delay: AtomicU64::new(0),
+            copies_arrived: AtomicU64::new(0),
+            copies_taken: AtomicU64::new(0),
         }
     }
 
@@ -120,6 +129,17 @@
         self.max_delay.fetch_max(self.now().saturating_sub(due), Ordering::Relaxed);
     }
 
+    /// Counts a copy of answered direct orders that arrived at its worker.
+    pub fn record_copy(&self, taken: bool) {
+        self.copies_arrived.fetch_add(1, Ordering::Relaxed);
+        self.copies_taken.fetch_add(u64::from(taken), Ordering::Relaxed);
+    }
+
+    /// The numbers of copies that arrived and that were taken.
+    pub fn copies(&self) -> (u64, u64) {
+        (self.copies_arrived.load(Ordering::Relaxed), self.copies_taken.load(Ordering::Relaxed))
+    }
+
     pub fn max_delay(&self) -> Ms {
         self.max_delay.load(Ordering::Relaxed)
     }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -52,6 +52,8 @@
     pub violations: Vec<Violation>,
     pub statistics: Statistics,
     pub leaders: usize,
+    /// Copies of answered direct orders that arrived at workers, and those that were taken.
+    pub copies: (u64, u64),
     /// Largest delay of the rig behind its own schedule.
     pub max_delay_ms: Ms,
     /// A controller exited because its port was in use, so the result of the run is invalid.
@@ -182,6 +184,7 @@
         violations,
         statistics,
         leaders,
+        copies: rig.copies(),
         max_delay_ms: rig.max_delay(),
         port_conflict,
         schedule,
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -48,6 +48,8 @@
     MachinesDie { count: usize },
     /// Some direct orders are delayed by seconds and get no answer.
     LateCommands,
+    /// Some direct orders that were executed and answered arrive once more, seconds later.
+    RepeatedCommands,
     /// Some reports are delivered a second time, seconds later, to a random controller.
     LateReports,
     /// Users cancel `count` running jobs at once, and machines of these jobs hang for `hang` ms.
@@ -95,6 +97,8 @@
             fault,
         });
     }
+    // Answered orders are repeated from the first jobs on, so that copies arrive while controllers restart.
+    entries.push(ScheduledFault { at: 0, duration: LAST_FAULT_START, fault: Fault::RepeatedCommands });
     entries.sort_by_key(|e| e.at);
     entries
 }
