Reports: a task that shows again after its end is stopped at once and counted

Until now it ran on to its own end as if it had been ordered; only tasks taken for gone without a report of their end were noticed (conclusions.rs). Now it is stopped by the answer that follows, counts against its team and job while it stands, and is logged as a warning and counted (`unexpected_tasks_total`).

--- a/src/coordination/counters.rs
+++ b/src/coordination/counters.rs
@@ -29,6 +29,8 @@
     pub starts_already_answered: u64,
     /// Planned starts held back when they were to be sent, because their tasks might be on other machines.
     pub starts_held_back: u64,
+    /// Tasks on own machines that no order can have started, as after the end of their attempt.
+    pub unexpected_tasks: u64,
     /// Replies to a former registration of this controller, or under a former grant.
     pub replies_misdirected: u64,
     /// Statuses that arrived after newer ones of the same sender and were dropped.
--- a/src/coordination/forgetting.rs
+++ b/src/coordination/forgetting.rs
@@ -9,12 +9,16 @@
 //! its start: the worker takes the token and the order together, or neither. An owner raises the token within the range
 //! of its grant, without a write to the state service. Answers to reports need no such care, since a worker drops those
 //! that come late.
+//!
+//! Should an attempt run again after its end all the same, its machine shows a task that its owner cannot have ordered.
+//! Such a task is stopped at once; until it has ended, it counts like any other task on the machine.
 
 use std::collections::BTreeSet;
 
 use crate::coordination::Controller;
 use crate::coordination::model::{Machine, PlacedTask};
-use crate::protocol::worker::{Cause, TaskId};
+use crate::protocol::units::Micros;
+use crate::protocol::worker::{Cause, Report, ReportedTask, TaskId, TaskState};
 
 /// How many completed attempts stay in a worker's reports before a new grant is requested to forget them. A report has
 /// room for about a thousand tasks.
@@ -78,6 +82,42 @@
         fenced
     }
 
+    /// Whether a message of an own machine shows an attempt that no order under the present grant can have started: in
+    /// the same session it had ended, or all tasks there were known and it was not among them.
+    pub(super) fn is_unexpected(
+        machine: &Machine,
+        report: &Report,
+        id: &TaskId,
+        shown: &ReportedTask,
+    ) -> bool {
+        let ended_before = |known: &PlacedTask| known.attempt == shown.attempt && known.ended();
+        report.token >= machine.row.token
+            && report.session == machine.session
+            && shown.state != TaskState::Ended
+            && machine.tasks.get(id).map_or(machine.resolved, ended_before)
+    }
+
+    /// Stops tasks that a machine has shown and that no order can have started.
+    pub(super) fn stop_unexpected_tasks(&mut self, name: &str, unexpected: &[TaskId]) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let (token, session) = (machine.token, machine.session);
+        for id in unexpected {
+            let Some(task) = machine.tasks.get_mut(id) else { continue };
+            task.stop_grace = Some(Micros::ZERO);
+            self.counters.unexpected_tasks += 1;
+            let (attempt, state) = (task.attempt, task.state);
+            tracing::warn!(
+                machine = name,
+                token,
+                session,
+                task = id.text(),
+                attempt,
+                ?state,
+                "task stopped: it runs though it had ended or was never started"
+            );
+        }
+    }
+
     /// Whether the worker may forget an ended task: a completion must be stored first.
     fn may_forget(&self, id: &TaskId, task: &PlacedTask) -> bool {
         match task.cause {
--- a/src/coordination/simulation/repeated_orders.rs
+++ b/src/coordination/simulation/repeated_orders.rs
@@ -273,6 +273,37 @@
     }
 }
 
+/// Guards against a task that runs on after its end was stored, without anybody's notice, if it is started again.
+#[test]
+fn a_task_that_is_shown_again_after_its_end_is_stopped_at_once_and_counted() {
+    let mut met = 0;
+    for seed in 2_400..2_440 {
+        let (mut world, started) = forgotten_attempt(seed, Ending::Completed);
+        let machine = started.call.machine.clone();
+        let w = &world.workers[&machine];
+        let orders = DirectOrders { token: w.token, session: w.session, ..started.call.orders.clone() };
+        let now = world.now;
+        world.task_run_time = 60 * S..90 * S;
+        world.execute_orders(&machine, orders, now);
+        let owner = world.controllers[started.call.node].as_ref().unwrap();
+        let known = owner.owns(&owner.machines[&machine]) && owner.machines[&machine].resolved;
+        // The worker refuses the start if another task has taken the room.
+        if !known || !started.is_active(&world) {
+            continue;
+        }
+        met += 1;
+        let counted = |world: &World| {
+            world.controllers.iter().flatten().map(|c| c.counters.unexpected_tasks).sum::<u64>()
+        };
+        // The worker's next report shows the task, and its owner's next order stops it.
+        let report_interval = world.settings[0].params.workers.report_s;
+        world.run(now + Micros::from_secs_f64(report_interval * 1.25) + Micros::from_secs(1));
+        assert!(!started.is_active(&world), "seed {seed}: the task runs on");
+        assert_eq!(counted(&world), 1, "seed {seed}");
+    }
+    assert!(met >= 5, "only {met} of 40 tasks were started again");
+}
+
 /// Guards every rule against copies of answered calls, with withdrawals and with controllers that restart within a
 /// second.
 #[test]
--- a/src/coordination/worker_reports.rs
+++ b/src/coordination/worker_reports.rs
@@ -154,9 +154,9 @@
         tracing::trace!(?report, "report");
         self.check_applied_report(&report, direct);
         let now = self.now;
-        let name = report.machine;
+        let name = report.machine.clone();
         let mut tasks: BTreeMap<TaskId, PlacedTask> = BTreeMap::new();
-        let mut ended = Vec::new();
+        let (mut ended, mut unexpected) = (Vec::new(), Vec::new());
         let Some(machine) = self.machines.get(&name) else { return };
         let was_idle = machine.idle();
         let was_ready = machine.last_received_at.is_some();
@@ -170,6 +170,9 @@
             if t.state == TaskState::Ended && same_attempt.is_none_or(|k| !k.ended()) {
                 ended.push((id.clone(), t.cause.unwrap_or(Cause::Other)));
             }
+            if Self::is_unexpected(machine, &report, &id, t) {
+                unexpected.push(id.clone());
+            }
             // A later attempt starts only after the earlier one has left the machine, so the report is out of date.
             if let Some(later) = known.filter(|k| !fenced && k.attempt > t.attempt) {
                 tasks.insert(id, later.clone());
@@ -205,6 +208,7 @@
             }
         }
         self.replace_tasks(&name, tasks, RemovalGround::NotReported);
+        self.stop_unexpected_tasks(&name, &unexpected);
         self.record_cached_images(&name);
         let Some(machine) = self.machines.get_mut(&name) else { return };
         let noticed = report.notice_s.is_some();
--- a/src/transport/runtime.rs
+++ b/src/transport/runtime.rs
@@ -135,7 +135,7 @@
 fn render_metrics(controller: &Controller) -> String {
     let (machines_held, machines_known) = controller.machine_counts();
     let counters = &controller.counters;
-    let rows: [(&str, u64); 40] = [
+    let rows: [(&str, u64); 41] = [
         ("healthy", controller.healthy().into()),
         ("entitled", controller.entitled().into()),
         ("leading", controller.leading().into()),
@@ -172,6 +172,7 @@
         ("records_unread", controller.unreadable_record_count() as u64),
         ("direct_starts_already_answered_total", counters.starts_already_answered),
         ("starts_held_back_total", counters.starts_held_back),
+        ("unexpected_tasks_total", counters.unexpected_tasks),
         ("replies_misdirected_total", counters.replies_misdirected),
         ("statuses_outdated_total", counters.statuses_outdated),
         ("store_failures_total", counters.store_failures),
