Moves: machines that the plan needs are not balanced away

Seen by callers: a gang spread over two zones waits without end in calm beside idle machines that would hold it.

Cause: a spread gang is given machines one by one, and balance_idle_machines, in the same rounds, moved idle machines away from the controller that held most, the gang's owner. The trace of its last 90 s has moves to the owner and away from it by turns, each with its cooldown.

Change: machines that the plan of the round counts on stay out of the balance, as its comment says ("that no job needs").

--- a/src/coordination/machine_moves.rs
+++ b/src/coordination/machine_moves.rs
@@ -137,7 +137,7 @@
                 }
             }
         }
-        self.balance_idle_machines(&candidates, &mut moves);
+        self.balance_idle_machines(&candidates, &reserved_by_plan, &mut moves);
         let with_room =
             candidates.iter().filter(|candidate| !candidate.awaiting_first_grant && candidate.room.cpu > 0);
         let free_after_plan =
@@ -496,6 +496,7 @@
     fn balance_idle_machines(
         &self,
         candidates: &[CandidateMachine<'_>],
+        reserved_by_plan: &BTreeSet<String>,
         moves: &mut BTreeMap<String, String>,
     ) {
         let members: Vec<&String> = self.view.members.iter().map(|m| &m.0).collect();
@@ -508,6 +509,7 @@
                 .entry(candidate.machine.row.kind.as_str())
                 .or_insert_with(|| members.iter().map(|m| (m.as_str(), Vec::new())).collect());
             if candidate.machine.idle()
+                && !reserved_by_plan.contains(candidate.name)
                 && !moves.contains_key(candidate.name)
                 && let Some(list) = by_owner.get_mut(candidate.planned_owner)
             {
--- a/src/coordination/simulation/neglect_cases.rs
+++ b/src/coordination/simulation/neglect_cases.rs
@@ -359,3 +359,29 @@
         assert!(run_until(&mut world, MAX_WAIT, begun), "seed {seed}: {}", world.describe_job(&gang));
     }
 }
+
+/// Guards against a gang spread over two zones that never starts beside idle machines: the leader moved some to its owner,
+/// and balanced others away from it in the same rounds.
+#[test]
+fn idle_machines_that_a_spread_gang_needs_are_not_balanced_away() {
+    let mut late = Vec::new();
+    for seed in 3_100..3_110 {
+        let mut world = World::new(seed, FaultProfile::default());
+        world.cloud_capacity = 10;
+        for n in 0..10 {
+            world.add_machine("c16", if n % 2 == 0 { "east" } else { "west" }, false);
+        }
+        world.run(Micros::from_secs(5));
+        let n = job_numbers_of(seed as usize % 3).next().unwrap();
+        let spec = array(&mut world, n, 23);
+        let id = spec.id.clone();
+        world.submit(JobSpec { shape: Shape::Gang, cpus: 5.0, spread: true, spot: false, ..spec });
+        let submitted = world.now;
+        world.run(submitted + MAX_WAIT);
+        let begun = world.jobs[&id].last_task_start;
+        if begun < submitted {
+            late.push(seed);
+        }
+    }
+    assert!(late.is_empty(), "the gang has not begun after 90 s: {late:?}");
+}
