Logs: what a timeline of a start needs, and shares of limits only when they change

The logs kept of the incident held nothing but each team's share, a line every half second. A share is now logged at info when it changes and at debug otherwise. No behaviour changes.

--- a/src/coordination/direct_calls.rs
+++ b/src/coordination/direct_calls.rs
@@ -2,6 +2,7 @@
 //! their replies.
 
 use crate::coordination::model::{PendingStart, PlacedTask};
+use crate::coordination::order_log::{OrderLog, StopReason};
 use crate::coordination::start_gate::StartGate;
 use crate::coordination::worker_reports::MAX_ORDERS;
 use crate::coordination::{Controller, Effect};
@@ -26,6 +27,7 @@
         let recent = Micros(self.report_every.0 * 2);
         let overdue = self.max_report_gap() + PROBE_DELAY;
         let registration = self.lease.as_ref().map_or(0, |l| l.registration);
+        let knowledge = self.knowledge_stamp();
         let gate = StartGate::new(self.confirmed_through(), self.active_permit(), &self.jobs);
         for (name, m) in &mut self.machines {
             let mine = m.row.registration == registration && m.row.owner == self.settings.member;
@@ -42,6 +44,7 @@
             // A worker that has never sent a message is most likely in its first session. If not, its reply contains
             // the session.
             let (session, token) = (m.session.max(1), m.token);
+            let log = OrderLog::new(name, m, session, None, knowledge);
             let mut orders = Vec::new();
             let silent = !m.unresponsive && m.last_received_at.is_some_and(|at| now.since(at) > overdue);
             if m.resolved && (silent || m.delivery.is_not_receiving()) {
@@ -60,6 +63,7 @@
                     {
                         t.stop_sent = true;
                         self.counters.stops += 1;
+                        log.stop(id, t, StopReason::Requested);
                         let (task, grace_s) = (id.text(), grace.as_secs_f64());
                         orders.push(Order::Stop { task, attempt: t.attempt, grace_s });
                     }
@@ -71,12 +75,7 @@
                         t.highest_call_token = Some(token);
                         t.started_at = now;
                         self.counters.starts += 1;
-                        tracing::debug!(
-                            machine = name,
-                            task = id.text(),
-                            attempt = t.attempt,
-                            "start sent in direct call"
-                        );
+                        log.start(id, t);
                         self.conclusions.record_start(now, name, id, t.attempt);
                         orders.push(Order::Start { task: id.text(), attempt: t.attempt });
                         m.starts_in_call.push(id.clone());
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -112,9 +112,12 @@
             .leader
             .as_ref()
             .is_some_and(|l| l.0 == self.own_name() && l.1 == registration && registration != 0);
+        if let Some((leader, leader_registration, revision)) = &self.leader {
+            tracing::info!(leader, leader_registration, revision, "leader recorded");
+        }
         if mine && self.leader_state.is_none() {
-            tracing::info!("became leader");
             let leader_revision = self.leader.as_ref().map_or(0, |l| l.2);
+            tracing::info!(registration, revision = leader_revision, "became leader");
             let planner = Some(Planner::new(self.now, leader_revision, self.leased_rates()));
             self.leader_state = Some(LeaderState { since: self.now, planner, ..Default::default() });
             self.volumes_received_at = self.now;
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -329,6 +329,8 @@
                         self.next_follow_at = Some(self.now);
                         self.join_backoff.succeeded();
                         tracing::info!(
+                            registration = self.incarnation().1,
+                            revision = self.applied_revision,
                             jobs = self.jobs.len(),
                             machines = self.machines.len(),
                             "registered, records loaded"
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 mod machine_moves;
 mod membership;
 mod model;
+mod order_log;
 mod peer_statuses;
 mod pending_start;
 mod placement;
--- a/src/coordination/quota/invariants.rs
+++ b/src/coordination/quota/invariants.rs
@@ -53,6 +53,8 @@
 pub(crate) struct Guard {
     counts: BTreeMap<Breach, u64>,
     halted: BTreeSet<String>,
+    /// This controller's shares of the teams' limits as they were last logged.
+    logged_shares: BTreeMap<String, (u64, u64)>,
     /// Since when the members have seemed to use more than a team's limit.
     exceeded_since: BTreeMap<String, Micros>,
     /// How often the usage of all members could be compared with the limits, and how often it could not because members
@@ -128,7 +130,7 @@
     }
 
     /// Checks that a division that has come into force grants no more than the limits, and logs this controller's
-    /// shares.
+    /// shares: at level info those that have changed.
     pub(in crate::coordination) fn check_shares(&mut self) {
         for team in self.overgranted_teams(&self.quota_record.0) {
             self.record_breach(Breach::SharesBeyondLimit, &team);
@@ -136,17 +138,14 @@
         if self.quota_record.0.view != self.view_revision {
             return;
         }
-        for team in &self.settings.params.teams {
-            if let Some((cpu, gpu)) = self.own_share(&team.name) {
-                let view = self.view_revision;
-                tracing::info!(
-                    team = team.name,
-                    view,
-                    stamp = self.quota_record.1,
-                    cpu,
-                    gpu,
-                    "own share of a team's limit"
-                );
+        let (view, stamp) = (self.view_revision, self.quota_record.1);
+        for team in self.settings.params.teams.iter().map(|t| t.name.clone()) {
+            let Some((cpu, gpu)) = self.own_share(&team) else { continue };
+            let before = self.quota_guard.logged_shares.insert(team.clone(), (cpu, gpu));
+            if before == Some((cpu, gpu)) {
+                tracing::debug!(team, view, stamp, cpu, gpu, "own share of a team's limit");
+            } else {
+                tracing::info!(team, view, stamp, cpu, gpu, "own share of a team's limit");
             }
         }
     }
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -354,7 +354,16 @@
                 continue;
             }
             self.machine_knowledge.machine_granted(&row.machine, owner);
-            tracing::debug!(machine = row.machine, owner = row.owner, token = row.token, "granted");
+            let last_token = row.last_token();
+            tracing::debug!(
+                machine = row.machine,
+                owner = row.owner,
+                registration = row.registration,
+                token = row.token,
+                last_token,
+                revision,
+                "granted"
+            );
             self.remote_stops_pending = true;
             // A new token for the same owner keeps the time of the grant. Otherwise a machine that accepts none of its
             // tokens would be waited for as long as it gets new ones.
--- a/src/coordination/worker_reports.rs
+++ b/src/coordination/worker_reports.rs
@@ -8,6 +8,7 @@
 use crate::coordination::conclusions::Evidence;
 use crate::coordination::knowledge::Authorization;
 use crate::coordination::model::{Machine, PendingStart, PlacedTask};
+use crate::coordination::order_log::{OrderLog, StopReason};
 use crate::coordination::pending_start::WorkerMessage;
 use crate::coordination::removal::RemovalGround;
 use crate::coordination::start_gate::StartGate;
@@ -307,20 +308,23 @@
             .map(|m| m.tasks.keys().map(|t| (t.job.clone(), self.is_live(&t.job))).collect())
             .unwrap_or_default();
         let forgettable = self.tasks_to_forget(name);
-        let now = self.now;
+        let (now, knowledge) = (self.now, self.knowledge_stamp());
         let gate = StartGate::new(self.confirmed_through(), self.active_permit(), &self.jobs);
         let Some(machine) = self.machines.get_mut(name) else {
             return proof.answer(0, orders);
         };
+        let log = OrderLog::new(name, machine, session, Some(tally), knowledge);
         // Stops come before starts, to free the resources that the starts need.
         for (id, t) in &mut machine.tasks {
             if t.ended() {
                 if forgettable.contains(id) {
+                    log.forget(id, t);
                     orders.push(Order::Forget { task: id.text(), attempt: t.attempt });
                 }
                 continue;
             }
-            if !live.get(&id.job).copied().unwrap_or(false) {
+            let is_live = live.get(&id.job).copied().unwrap_or(false);
+            if !is_live {
                 // The job is no longer live: it was withdrawn, or has completed.
                 t.stop_grace = Some(Micros::ZERO);
             }
@@ -329,6 +333,7 @@
                 && (t.state != TaskState::Saving || grace == Micros::ZERO)
             {
                 self.counters.stops += 1;
+                log.stop(id, t, if is_live { StopReason::Requested } else { StopReason::JobEnded });
                 orders.push(Order::Stop {
                     task: id.text(),
                     attempt: t.attempt,
@@ -351,13 +356,7 @@
                 t.pending = Some(PendingStart::SentInAnswer { session, tally });
                 t.started_at = now;
                 self.counters.starts += 1;
-                tracing::debug!(
-                    machine = name,
-                    task = id.text(),
-                    attempt = t.attempt,
-                    tally,
-                    "start sent in answer"
-                );
+                log.start(id, t);
                 self.conclusions.record_start(now, name, id, t.attempt);
                 orders.push(Order::Start { task: id.text(), attempt: t.attempt });
             }
