--- a/src/coordination/simulation.rs
+++ b/src/coordination/simulation.rs
@@ -8,6 +8,7 @@
 mod cloud;
 mod cluster_sizes;
 mod contradicted_conclusions;
+mod coverage;
 mod direct_start_races;
 mod duplicate_starts;
 mod evictions;
@@ -57,6 +58,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
 
+use coverage::Coverage;
 use fault_injection::FaultProfile;
 use neglect_check::NeglectMonitor;
 use network::PendingRequest;
@@ -159,68 +161,6 @@
     }
 }
 
-/// Counts of the situations that a run has exercised.
-///
-/// A test that provokes a situation asserts that it occurred.
-#[derive(Debug, Default)]
-struct Coverage {
-    /// Transactions without an answer that were committed after a newer transaction of the same controller.
-    late_commits: u32,
-    /// Copies of reports that arrived after a newer report of the same machine.
-    late_duplicates: u32,
-    /// Copies of reports of an earlier session of the worker.
-    duplicates_of_earlier_sessions: u32,
-    /// Tasks in copies of reports that had a later attempt by then.
-    duplicate_tasks_of_earlier_attempts: u32,
-    /// Tasks in copies of reports that had completed.
-    duplicate_completed_tasks: u32,
-    /// Tasks that started a second time in the same attempt and worker session.
-    repeated_starts: u32,
-    /// Orders that were executed more than a second after they were sent.
-    late_orders: u32,
-    /// Copies of direct orders that arrived after the orders had been carried out and answered.
-    repeated_orders: u32,
-    /// Those of them that the worker took, since token and session still matched.
-    repeated_orders_taken: u32,
-    /// Orders rejected by a worker that already had one of their starts from the answer to a report.
-    rejected_but_started: u32,
-    /// Tasks that had completed and started again.
-    restarts_after_completion: u32,
-    /// Tasks that a worker ended because its lease expired.
-    tasks_lost_to_lease_expiry: usize,
-    /// Confirmations of statuses that the receiving process had not sent.
-    unsolicited_confirmations: u32,
-    /// Messages between controllers that were delayed by more than five seconds.
-    late_peer_messages: u32,
-    /// The longest time for which a task ran after its job's withdrawal was recorded.
-    max_run_after_withdrawal: Micros,
-    /// The longest time for which a task ran after its job's withdrawal was confirmed to the user.
-    max_run_after_confirmation: Micros,
-    /// Starts of tasks of jobs whose withdrawal had been confirmed, by orders that were in flight at the confirmation.
-    starts_in_flight_at_confirmation: u32,
-    /// Transactions that were committed at once and whose reply was lost.
-    lost_commit_replies: u32,
-    /// Copies of reports that were retained and delivered to a controller after a new leader appeared.
-    retained_reports_delivered: u32,
-    /// How often each injected fault took effect.
-    faults: BTreeMap<&'static str, u32>,
-    /// Bursts of requests to all controllers that users sent after they first learnt of a new state of their job.
-    request_bursts: u32,
-    /// Requests about jobs that were never submitted.
-    unknown_job_requests: u32,
-    /// Answers to those requests that there is no such job.
-    unknown_job_denials: u32,
-    /// Final states in answers to requests that were sent after the user already knew the final state.
-    repeated_final_states: u32,
-    /// Answers older than the user's knowledge, to requests that were sent before the user had that knowledge.
-    overlapping_answers: u32,
-    /// The highest simultaneous use of processors and accelerators by each team's tasks, in thousandths.
-    peak_usage: Vec<(u64, u64)>,
-    /// How often a job that had waited for 90 s without faults was compared with the machines that had room for all
-    /// that time.
-    neglect_checks: u32,
-}
-
 #[derive(Clone, Copy)]
 struct ClusterSize {
     controllers: usize,
