--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -48,7 +48,7 @@
     MachinesDie { count: usize },
     /// Some direct orders are delayed by seconds and get no answer.
     LateCommands,
-    /// Some direct orders that were executed and answered arrive once more, seconds later.
+    /// Direct orders that were executed and answered arrive again, several times, seconds later.
     RepeatedCommands,
     /// Some reports are delivered a second time, seconds later, to a random controller.
     LateReports,
--- a/tests/soak/worker.rs
+++ b/tests/soak/worker.rs
@@ -21,6 +21,9 @@
 /// How long a worker waits for the answer to a report; a later answer is dropped.
 const ANSWER_TIMEOUT_MS: Ms = 4_000;
 
+/// Number of copies of each call that was answered while calls are repeated.
+const COPIES_PER_CALL: usize = 4;
+
 /// How much later a copy of answered orders arrives: up to more than two leases of a worker.
 const REPETITION_DELAY_MS: std::ops::Range<Ms> = 1_000..15_000;
 
@@ -85,27 +88,28 @@
     }
     let (status, report) = endpoint.execute(&body);
     if status == StatusCode::OK {
-        repeat_later(&endpoint, body);
+        repeat_later(&endpoint, &body);
     }
     (status, report.to_string()).into_response()
 }
 
-/// Draws whether orders that were executed arrive once more, and delivers the copy if the worker is reachable then.
-fn repeat_later(endpoint: &WorkerEndpoint, body: Value) {
-    let rig = endpoint.rig.clone();
+/// Delivers copies of orders that were executed, each after a random delay if the worker is reachable then.
+fn repeat_later(endpoint: &WorkerEndpoint, body: &Value) {
     let is_empty = body["Orders"].as_array().is_none_or(Vec::is_empty);
-    if is_empty || !rig.faults.lock().unwrap().repeated_commands() || rand::rng().random_bool(0.2) {
+    if is_empty || !endpoint.rig.faults.lock().unwrap().repeated_commands() {
         return;
     }
-    let endpoint = endpoint.clone();
-    tokio::spawn(async move {
-        let delay_ms = rand::rng().random_range(REPETITION_DELAY_MS);
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-        if endpoint.blocked_until(rig.now()).is_none() {
-            let (status, _) = endpoint.execute(&body);
-            rig.record_copy(status == StatusCode::OK);
-        }
-    });
+    for _ in 0..COPIES_PER_CALL {
+        let (endpoint, body) = (endpoint.clone(), body.clone());
+        tokio::spawn(async move {
+            let delay_ms = rand::rng().random_range(REPETITION_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            if endpoint.blocked_until(endpoint.rig.now()).is_none() {
+                let (status, _) = endpoint.execute(&body);
+                endpoint.rig.record_copy(status == StatusCode::OK);
+            }
+        });
+    }
 }
 
 async fn handle_show(State(endpoint): State<WorkerEndpoint>) -> Response {
