Limits: a share that was cut below its member's usage grows again

What callers saw: after tasks had been counted more than once, as when machines change owner or tasks of unknown jobs stand, a team with long tasks started nothing more though its limit had room, until its running tasks ended.

Cause: such an overcount cuts each share by the whole excess, so that a share may lie below its member's usage. When the overcount is over, the next division weighed what a further start needs against share and spare room, though the usage beyond the share is already taken out of the spare room: nothing ever fitted.

Change: a start is weighed against what is committed to the member, the larger of share and usage. A resource that the unit does not need stays as it is, so that the shares keep adding up to no more than the limit.

The check of `shares_never_add_up_to_more_than_the_limit` that a share grows only into free room compared with the share alone; growth up to the member's own usage takes nothing from others, since that usage is committed already, so it compares with the larger of the two now. For shares at or above the usage it is the same check.

--- a/src/coordination/quota/division.rs
+++ b/src/coordination/quota/division.rs
@@ -60,8 +60,9 @@
     let excess = sum(&mut new_shares.iter().copied()).minus(limit);
     new_shares.iter_mut().for_each(|share| *share = share.minus(excess));
     // What a member may use, or uses beyond its share, cannot be given to another.
-    let committed = sum(&mut new_shares.iter().zip(members).map(|(share, m)| share.max(m.used)));
-    let mut spare = limit.minus(committed);
+    let mut committed: Vec<Resources> =
+        new_shares.iter().zip(members).map(|(share, m)| share.max(m.used)).collect();
+    let mut spare = limit.minus(sum(&mut committed.iter().copied()));
     let mut targets: Vec<Resources> = members.iter().map(|m| m.used).collect();
     let mut left = limit.minus(sum(&mut targets.iter().copied()));
     let mut some_lack_room = false;
@@ -70,12 +71,14 @@
         let target = targets[i].plus(unit.need.times(count));
         left = left.minus(unit.need.times(count));
         // As many starts of the unit as fit into what is free now.
-        let available = new_shares[i].plus(spare).minus(targets[i]);
+        let available = committed[i].plus(spare).minus(targets[i]);
         let at_once = count.min(unit.need.times_in(available));
         let grown = targets[i].plus(unit.need.times(at_once));
-        let more = grown.minus(new_shares[i]);
+        let more = grown.minus(committed[i]);
         if at_once > 0 && more.fits(spare) {
-            new_shares[i] = new_shares[i].max(grown);
+            // What the member uses beyond its share of a resource that the unit does not need stays beyond it.
+            new_shares[i] = new_shares[i].plus(more).max(where_needed(grown, unit.need));
+            committed[i] = committed[i].max(grown);
             spare = spare.minus(more);
         }
         some_lack_room |= count < unit.count || !target.fits(new_shares[i]);
@@ -88,6 +91,12 @@
     new_shares
 }
 
+/// The amounts of the resources that a unit needs.
+fn where_needed(amount: Resources, need: Resources) -> Resources {
+    let of = |amount: u64, need: u64| if need > 0 { amount } else { 0 };
+    Resources { cpu: of(amount.cpu, need.cpu), gpu: of(amount.gpu, need.gpu), memory: 0 }
+}
+
 /// All units with the indices of their members, in order.
 fn units_in_order(members: &[MemberShare]) -> Vec<(usize, StartUnit)> {
     let units = members.iter().enumerate().flat_map(|(i, m)| m.units.iter().map(move |unit| (i, *unit)));
--- a/src/coordination/quota/division/tests.rs
+++ b/src/coordination/quota/division/tests.rs
@@ -54,10 +54,10 @@
             let next = divide_limit(limit, &members);
             let all = total(next.iter().copied());
             assert!(all.fits(limit), "seed {seed}: {next:?} of {limit:?}");
-            let committed = total(members.iter().map(|m| m.granted.max(m.used)));
-            let grown = next.iter().zip(&members).filter(|_| !undivided).map(|(n, m)| n.minus(m.granted));
-            let more = total(grown);
-            assert!(more.fits(limit.minus(committed)), "seed {seed}: a share grew into what others may use");
+            let committed = |m: &MemberShare| m.granted.max(m.used);
+            let free = limit.minus(total(members.iter().map(committed)));
+            let grown = next.iter().zip(&members).filter(|_| !undivided).map(|(n, m)| n.minus(committed(m)));
+            assert!(total(grown).fits(free), "seed {seed}: a share grew into what others may use");
             members.iter_mut().zip(next).for_each(|(m, n)| m.granted = n);
             // A new view, in which the division of the limit begins again.
             if rng.random_bool(0.1) {
@@ -164,9 +164,59 @@
     assert!(amount(17, 0).fits(members[1].granted), "{members:?}");
 }
 
+/// Guards against a share that stays below its member's usage, after tasks counted twice, though the limit has room.
+#[test]
+fn a_share_cut_below_the_usage_grows_again_once_the_overcount_is_over() {
+    let mut started = 0;
+    for seed in 0..500 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let limit = amount(40_000, 6_000);
+        let mut members = vec![MemberShare::default(); rng.random_range(1..6)];
+        let mut left = limit;
+        for m in &mut members {
+            m.used = up_to(&mut rng, left);
+            left = left.minus(m.used);
+            m.granted = up_to(&mut rng, m.used);
+            m.units = random_units(&mut rng);
+        }
+        started += settle(seed, limit, &mut members);
+    }
+    assert!(started > 500, "only {started} units were started");
+}
+
 /// How many divisions after the last start a unit that fits beside the usage may be left out.
 const MAX_DIVISIONS_TO_SETTLE: usize = 4;
 
+/// Lets the owners start what their shares allow until nothing changes. Fails if a unit that fits beside the usage is
+/// left out then, or if the shares or the usages ever add up to more than the limit. Returns the number of starts.
+fn settle(seed: u64, limit: Resources, members: &mut [MemberShare]) -> usize {
+    let mut started = 0;
+    let mut idle = 0;
+    while idle < MAX_DIVISIONS_TO_SETTLE {
+        let next = divide_limit(limit, members);
+        assert!(total(next.iter().copied()).fits(limit), "seed {seed}");
+        members.iter_mut().zip(next).for_each(|(m, n)| m.granted = n);
+        let before = started;
+        for m in members.iter_mut() {
+            m.units.sort_by_key(|u| u.order);
+            for unit in &mut m.units {
+                while unit.count > 0 && unit.need.fits(m.granted.minus(m.used)) {
+                    unit.count -= 1;
+                    m.used = m.used.plus(unit.need);
+                    started += 1;
+                }
+            }
+        }
+        assert!(total(members.iter().map(|m| m.used)).fits(limit), "seed {seed}: {members:?}");
+        idle = if started == before { idle + 1 } else { 0 };
+    }
+    let left = limit.minus(total(members.iter().map(|m| m.used)));
+    for (i, unit) in units_in_order(members) {
+        assert!(!unit.need.fits(left), "seed {seed}: {unit:?} of {i} is left out of {left:?}: {members:?}");
+    }
+    started
+}
+
 /// Random owners start what their shares allow until nothing changes: then no unit that fits under the limit is left
 /// out, whatever was granted before, and the shares never add up to more than the limit.
 #[test]
@@ -189,31 +239,7 @@
             spare = spare.minus(more);
             m.granted = m.used.plus(more);
         }
-        let mut idle = 0;
-        while idle < MAX_DIVISIONS_TO_SETTLE {
-            let next = divide_limit(limit, &members);
-            assert!(total(next.iter().copied()).fits(limit), "seed {seed}");
-            members.iter_mut().zip(next).for_each(|(m, n)| m.granted = n);
-            let before = started;
-            for m in &mut members {
-                m.units.sort_by_key(|u| u.order);
-                for unit in &mut m.units {
-                    while unit.count > 0 && unit.need.fits(m.granted.minus(m.used)) {
-                        unit.count -= 1;
-                        m.used = m.used.plus(unit.need);
-                        started += 1;
-                    }
-                }
-            }
-            idle = if started == before { idle + 1 } else { 0 };
-        }
-        let left = limit.minus(total(members.iter().map(|m| m.used)));
-        for (i, unit) in units_in_order(&members) {
-            assert!(
-                !unit.need.fits(left),
-                "seed {seed}: {unit:?} of {i} is left out of {left:?}: {members:?}"
-            );
-        }
+        started += settle(seed, limit, &mut members);
     }
     assert!(started > 2_000, "only {started} units were started");
 }
