Limits: a start planned beside a task of an unknown job does not take that task out of the count

What callers saw: after the state service had refused every controller, a team had 40 accelerators on machines of a limit of 39 (rule `quota`).

Cause: of a job that ended before a controller read the records, or before any machine was heard, neither team nor size is known. Its tasks counted as the room that other tasks leave on their machine, and planned starts, of any team, were such other tasks. The machine's room seems free, since a task of unknown size counts as taking nothing there; a start planned into it took the running task out of the count, and its team started as much again elsewhere.

Change: tasks of unknown jobs count as the room beside the tasks which the worker has shown together with them, and as the whole machine until its owner knows all tasks (`quota/unknown_tasks.rs`). That bound holds for as long as the task stands, since the worker held room for all of them at once; nothing that a controller plans or orders lowers it. Whether a task in another controller's status that has not fetched its image was shown or is planned is not known, so it does not lower it. A change of the unknown part is logged (info), and with each planned start of a divided team what was counted (debug).

The check of counts (`simulation/count_check.rs`) runs at every step of every simulated run: what the members of a settled view count of each team is at least what runs. The refusals in turn are a kind of fault of the random runs and pairs, with the deployments' leases. `tasks_of_jobs_over_before_a_restart_count_against_the_team_limit` expected the free room of a machine of which a task may have been planned only; it lets the machine show all its tasks first, and expects the same amount.

--- a/src/coordination/quota/invariants.rs
+++ b/src/coordination/quota/invariants.rs
@@ -7,6 +7,7 @@
 
 use crate::bookkeeping::records::QuotaRecord;
 use crate::coordination::Controller;
+use crate::coordination::quota::unknown_tasks::UnknownUsage;
 use crate::protocol::units::{Micros, Resources};
 
 /// How long the members together may seem to use more than a limit: their statuses are from different moments.
@@ -44,7 +45,7 @@
 enum OvercountReason {
     /// A task counts wherever it may be until the state of a machine that changed owner is resolved.
     MachinesUnresolved,
-    /// Tasks of jobs that ended before this controller joined count as all the room that is left on their machines.
+    /// Tasks of jobs that ended before this controller joined count as all that other tasks leave of their machines.
     UnknownTasks,
 }
 
@@ -55,6 +56,8 @@
     halted: BTreeSet<String>,
     /// This controller's shares of the teams' limits as they were last logged.
     logged_shares: BTreeMap<String, (u64, u64)>,
+    /// What this controller counted for tasks of unknown jobs when that was last logged.
+    pub(super) logged_unknown_usage: UnknownUsage,
     /// Since when the members have seemed to use more than a team's limit.
     exceeded_since: BTreeMap<String, Micros>,
     /// How often the usage of all members could be compared with the limits, and how often it could not because members
--- a/src/coordination/quota/permit.rs
+++ b/src/coordination/quota/permit.rs
@@ -111,7 +111,7 @@
 
     /// This controller's share of a team's limit in the record in force; `None` if the record has none for its
     /// registration and view.
-    pub(super) fn own_share(&self, team: &str) -> Option<(u64, u64)> {
+    pub(in crate::coordination) fn own_share(&self, team: &str) -> Option<(u64, u64)> {
         let (me, registration) = self.incarnation();
         let mine = |r: &&Allotment| r.team == team && r.member == me && r.registration == registration;
         let rows = self.quota_record.0.rows.iter().filter(|_| self.quota_record.0.view == self.view_revision);
@@ -125,9 +125,15 @@
 
     /// Logs what a planned start is based on, so that a timeline can be reconstructed.
     pub(in crate::coordination) fn log_planned_start(&self, task: &TaskId, machine: &str, by: &Allowance) {
+        // What is counted is worked out once more for the log, so only if it is written.
+        let divided = by.granted.is_some() && tracing::enabled!(tracing::Level::DEBUG);
+        let team = self.jobs.get(&task.job).filter(|_| divided).map(|job| job.spec.team.as_str());
+        let counted = team.map(|team| self.usage_parts(team));
         tracing::debug!(
             task = task.text(),
             machine,
+            team,
+            counted = ?counted,
             leader = self.leader.as_ref().map_or("", |l| l.0.as_str()),
             leader_stamp = self.leader.as_ref().map_or(0, |l| l.2),
             view = by.permit.view,
--- a/src/coordination/quota/usage.rs
+++ b/src/coordination/quota/usage.rs
@@ -4,9 +4,29 @@
 
 use crate::coordination::Controller;
 use crate::coordination::model::{Job, Machine, PlacedTask};
+use crate::coordination::quota::unknown_tasks::UnknownUsage;
 use crate::protocol::units::Resources;
 use crate::protocol::worker::TaskId;
 
+/// What a controller counts of a team.
+#[derive(Clone, Debug)]
+pub(super) struct UsageParts {
+    /// Tasks of its live jobs.
+    pub live: Resources,
+    /// Tasks of jobs that have ended.
+    pub retired: Resources,
+    /// Tasks of unknown jobs, which may be of any team.
+    pub unknown: UnknownUsage,
+}
+
+impl UsageParts {
+    /// Processors and accelerators of all parts together.
+    fn total(&self) -> (u64, u64) {
+        let known = self.live.plus(self.retired);
+        (known.cpu + self.unknown.cpu, known.gpu + self.unknown.gpu)
+    }
+}
+
 impl Controller {
     /// The teams whose limit could be exceeded at all, or is divided in this view.
     ///
@@ -75,35 +95,27 @@
         requested
     }
 
-    /// What tasks of this controller's jobs of a team use, wherever they are or may be. Ended tasks do not count: a
-    /// task stays on its machine until its completion is recorded, and with short tasks a fifth of a limit stayed idle
-    /// for that reason.
+    /// What tasks of this controller's jobs of a team use, wherever they are or may be, and what tasks of unknown jobs
+    /// may use of it.
     pub(in crate::coordination) fn team_usage(&self, team: &str) -> (u64, u64) {
+        self.usage_parts(team).total()
+    }
+
+    /// The parts of that usage. Ended tasks do not count: a task stays on its machine until its completion is recorded,
+    /// and with short tasks a fifth of a limit stayed idle for that reason.
+    pub(super) fn usage_parts(&self, team: &str) -> UsageParts {
         let mine = |j: &&Job| j.owner.as_deref() == Some(self.own_name()) && j.spec.team == team;
-        let live = self.jobs.values().filter(mine).map(|j| (j.spec.need(), u64::from(j.tasks_in_use())));
+        let live = self.jobs.values().filter(mine).map(|j| j.spec.need().times(u64::from(j.tasks_in_use())));
         let mine = |(id, j): &(&String, &Job)| {
             j.spec.team == team && self.owner_of(id).as_deref() == Some(self.own_name())
         };
-        let retired = self.retired.iter().filter(mine).map(|(_, j)| (j.spec.need(), j.placements_in_use()));
-        // Neither team nor size is known of a job that ended before this controller joined. Its tasks may be of any
-        // team, so they count as all the room that other tasks leave on their machines. Without this, a controller that
-        // was back at once did not count eight processors of a withdrawn job that was still running, and started tasks
-        // on as many more.
-        let unknown = self
-            .machines_with_unknown_tasks
-            .iter()
-            .filter(|(id, _)| self.owner_of(id).as_deref() == Some(self.own_name()));
-        let hosts: BTreeSet<&String> = unknown.flat_map(|(_, hosts)| hosts).collect();
-        let has_unknown_tasks = |m: &&Machine| {
-            m.tasks.iter().any(|(id, t)| !t.ended() && self.machines_with_unknown_tasks.contains_key(&id.job))
-        };
-        let hosts = hosts.into_iter().filter_map(|name| self.machines.get(name)).filter(has_unknown_tasks);
-        // While the machine types are not known, neither is the room left on a machine: it may be all there is.
-        let all_there_is = Resources { cpu: 1 << 40, gpu: 1 << 40, memory: 0 };
-        let left = |m: &Machine| if m.supply == Resources::default() { all_there_is } else { m.free() };
-        let unknown = hosts.map(|m| (left(m), 1));
-        let all = live.chain(retired).chain(unknown);
-        all.fold((0, 0), |(cpu, gpu), (need, n)| (cpu + need.cpu * n, gpu + need.gpu * n))
+        let retired = self.retired.iter().filter(mine);
+        let retired = retired.map(|(_, j)| j.spec.need().times(j.placements_in_use()));
+        UsageParts {
+            live: live.fold(Resources::default(), Resources::plus),
+            retired: retired.fold(Resources::default(), Resources::plus),
+            unknown: self.unknown_usage(),
+        }
     }
 
     /// Processors and accelerators that this controller's jobs use, for each team with a limit.
--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -79,7 +79,15 @@
     pub(super) fn retire(&mut self, id: &str) -> Option<u32> {
         self.fault_attribution.job_ended(id);
         let job = self.jobs.shift_remove(id)?;
-        tracing::debug!(job = id, unfinished = job.unfinished(), "job ended");
+        tracing::debug!(
+            job = id,
+            team = job.spec.team,
+            unfinished = job.unfinished(),
+            placed = job.placements.len(),
+            takeover_in_progress = self.takeover_in_progress,
+            unresolved_machines = self.unresolved_machines.len(),
+            "job ended"
+        );
         let may_use = job.spec.need().times(u64::from(job.unfinished()));
         self.recently_removed.push_back((self.now, job.spec.team.clone(), may_use));
         // Planned starts must not be sent, as the job's user may know already that the job has ended. Running tasks
@@ -546,6 +554,7 @@
             } else if let Some(machines) = self.machines_with_unknown_tasks.get_mut(&id.job) {
                 machines.insert(name.to_owned());
             } else {
+                tracing::debug!(machine = name, task = id.text(), "machine shows a task of an unknown job");
                 self.machines_with_unknown_tasks.insert(id.job.clone(), [name.to_owned()].into());
             }
         }
--- a/src/coordination/simulation/coverage.rs
+++ b/src/coordination/simulation/coverage.rs
@@ -62,4 +62,8 @@
     /// How often a job that had waited for 90 s without faults was compared with the machines that had room for all
     /// that time.
     pub(super) neglect_checks: u32,
+    /// How often what the controllers count was compared with what runs, and how often while one of them counted tasks
+    /// of jobs that it had no record of.
+    pub(super) count_checks: u64,
+    pub(super) count_checks_with_unknown_tasks: u64,
 }
--- a/src/coordination/simulation/fault_injection.rs
+++ b/src/coordination/simulation/fault_injection.rs
@@ -1,5 +1,6 @@
 //! Fault injection: which faults a random run may inject, how they are drawn, and runs of a few minutes under them.
 
+use super::outages::DEPLOYMENT_TIMINGS;
 use super::*;
 
 /// Which faults a run may inject. A number is the fault's expected rate per second unless its comment says otherwise.
@@ -79,6 +80,9 @@
     pub(super) request_bursts: f64,
     /// Probability per call: orders that a worker has carried out and answered arrive there once more.
     pub(super) repeated_orders: f64,
+    /// The store refuses all controllers until their leases have ended, and serves them again one by one; users
+    /// withdraw jobs at the first one that is served. The workers' leases are those of one of the deployments.
+    pub(super) refused_in_turn: f64,
 }
 
 impl World {
@@ -128,6 +132,9 @@
             let from = Micros(self.rng.random_range(0..refused.0));
             self.schedule_fault(self.now + from, TimedFault::StoreDown, outage);
         }
+        if self.chance(probability(profile.refused_in_turn)) && self.record_fault("refused_in_turn") {
+            self.refuse_in_turn();
+        }
         if self.chance(probability(profile.process_pause)) {
             let length = Micros(self.rng.random_range(S..40 * S));
             let n = self.rng.random_range(0..self.settings.len());
@@ -290,6 +297,9 @@
 /// must be done or withdrawn.
 pub(super) fn run_random(seed: u64, profile: FaultProfile) -> World {
     let mut world = World::new(seed, profile);
+    if profile.refused_in_turn > 0.0 {
+        world.set_worker_timings(DEPLOYMENT_TIMINGS[seed as usize % DEPLOYMENT_TIMINGS.len()]);
+    }
     world.run(Micros::from_secs(5));
     let mut endless = Vec::new();
     for n in 0..40u32 {
@@ -501,6 +511,14 @@
     run_seeds(1_000..1_008, profile);
 }
 
+/// Guards limits and withdrawals when no controller is served by the store for longer than its lease, and users withdraw
+/// jobs at the first one that is back.
+#[test]
+fn controllers_refused_in_turn_break_no_rule() {
+    let profile = FaultProfile { refused_in_turn: 0.03, withdrawn: 0.2, ..Default::default() };
+    run_seeds(1_200..1_212, profile);
+}
+
 /// Guards every rule against all faults that operators have met, combined.
 #[test]
 fn faults_seen_by_operators_combined_break_no_rule() {
--- a/src/coordination/simulation/fault_pairs.rs
+++ b/src/coordination/simulation/fault_pairs.rs
@@ -50,6 +50,7 @@
         ("request_bursts", |t| t.request_bursts = 0.5),
         ("invalid_requests", |t| t.invalid_requests = 0.5),
         ("repeated_orders", |t| t.repeated_orders = 0.4),
+        ("refused_in_turn", |t| t.refused_in_turn = 0.015),
     ]
 }
 
--- a/src/coordination/simulation/outages.rs
+++ b/src/coordination/simulation/outages.rs
@@ -43,15 +43,22 @@
     }
 }
 
+impl World {
+    /// Sets the workers' report interval and lease, and the cancel deadline, in seconds.
+    pub(super) fn set_worker_timings(&mut self, (report_s, lease_s, cancel_s): (f64, f64, f64)) {
+        for s in &mut self.settings {
+            let w = &mut s.params.workers;
+            (w.report_s, w.lease_s, w.cancel_s) = (report_s, lease_s, cancel_s);
+        }
+    }
+}
+
 /// Number of tasks that workers stop because their lease expires during an outage of the state service.
 ///
 /// The timings are those of a deployment: report interval, worker lease, and cancel deadline.
-fn tasks_lost_in_outage(seed: u64, seconds: u64, (report_s, lease_s, cancel_s): (f64, f64, f64)) -> usize {
+fn tasks_lost_in_outage(seed: u64, seconds: u64, timings: (f64, f64, f64)) -> usize {
     let mut world = World::new(seed, FaultProfile::default());
-    for s in &mut world.settings {
-        let w = &mut s.params.workers;
-        (w.report_s, w.lease_s, w.cancel_s) = (report_s, lease_s, cancel_s);
-    }
+    world.set_worker_timings(timings);
     world.task_run_time = 200 * S..300 * S;
     for _ in 0..12 {
         world.add_machine("c16", "east", false);
@@ -70,7 +77,7 @@
 
 /// Report interval, worker lease and cancel deadline of the deployments: test rig, maapoue-cores, selatferi-hq,
 /// selatcargo.
-const DEPLOYMENT_TIMINGS: [(f64, f64, f64); 4] =
+pub(super) const DEPLOYMENT_TIMINGS: [(f64, f64, f64); 4] =
     [(2.5, 14.0, 34.0), (5.0, 27.0, 57.0), (6.0, 31.0, 51.0), (4.0, 28.0, 53.0)];
 
 /// Guards running tasks against a bound on the age of knowledge that is tighter than withdrawals require: in every
--- a/src/coordination/simulation/quick_restarts.rs
+++ b/src/coordination/simulation/quick_restarts.rs
@@ -166,6 +166,9 @@
     let unrecorded_job =
         (0..).map(|n| format!("j-9{n:05}")).find(|id| c.owner_of(id).as_deref() == Some(c.own_name()));
     let mut tasks = c.machines[&name].tasks.clone();
+    // The unknown task may take the room of tasks that may be planned only: here the machine has shown them all.
+    let fetching = tasks.values_mut().filter(|t| t.state == TaskState::Fetching);
+    fetching.for_each(|t| (t.state, t.pending) = (TaskState::Running, None));
     let running_task =
         c.machines.values().flat_map(|m| m.tasks.values()).find(|t| !t.ended()).unwrap().clone();
     tasks.insert(
--- a/src/coordination/simulation/quota_fault_combinations.rs
+++ b/src/coordination/simulation/quota_fault_combinations.rs
@@ -8,7 +8,7 @@
 use crate::coordination::replica::rendezvous;
 
 /// Sets the teams' limits of processors and accelerators; 0 means no limit.
-fn set_limits(world: &mut World, teams: &[(&str, f64, f64)]) {
+pub(super) fn set_limits(world: &mut World, teams: &[(&str, f64, f64)]) {
     for s in &mut world.settings {
         let team = |(name, cpus_max, gpus_max): &(&str, f64, f64)| crate::settings::Team {
             name: (*name).to_owned(),
@@ -295,7 +295,8 @@
     world.send_user_request(node, id.to_owned(), UserRequest::Withdraw);
 }
 
-const TEAMS: [(&str, f64, f64); 3] = [("blue", 30.0, 6.0), ("green", 20.0, 4.0), ("red", 12.0, 3.0)];
+pub(super) const TEAMS: [(&str, f64, f64); 3] =
+    [("blue", 30.0, 6.0), ("green", 20.0, 4.0), ("red", 12.0, 3.0)];
 
 /// A cluster in which each team has just submitted more work of both kinds than its limits allow at once, and the
 /// number of these jobs.
--- a/src/coordination/simulation/rules.rs
+++ b/src/coordination/simulation/rules.rs
@@ -180,6 +180,7 @@
             self.check_not_forgotten();
         }
         self.check_team_limits();
+        self.check_counts();
         self.check_neglect();
     }
 }
--- a/src/coordination/simulation/timed_faults.rs
+++ b/src/coordination/simulation/timed_faults.rs
@@ -144,6 +144,48 @@
         to_withdraw
     }
 
+    /// The store refuses all controllers for a little longer than their leases, and then serves them again one by one,
+    /// up to seconds apart. Users withdraw some of the running jobs at the one that is served first.
+    pub(super) fn refuse_in_turn(&mut self) {
+        let mut nodes: Vec<usize> = (0..self.settings.len()).collect();
+        let turn = self.rng.random_range(0..nodes.len());
+        nodes.rotate_left(turn);
+        let lease_term = self.settings[0].lease_term(&self.tuning);
+        let mut until = self.now + lease_term + Micros(self.rng.random_range(S..6 * S));
+        self.withdraw_at(nodes[0], until);
+        for node in nodes {
+            self.begin_fault(TimedFault::StoreRefuses(node), until);
+            until += Micros(self.rng.random_range(100 * MS..8 * S));
+        }
+    }
+
+    /// Users withdraw one to three of the running jobs at this controller. They ask again and again for some seconds, as
+    /// the controller is served by the store from `served_from` on and registers some time after that.
+    fn withdraw_at(&mut self, node: usize, served_from: Micros) {
+        let mut running: BTreeSet<String> = BTreeSet::new();
+        for w in self.workers.values().filter(|w| !w.dead) {
+            let tasks = w.tasks.iter().filter(|(_, t)| t.state == TaskState::Running);
+            running.extend(tasks.map(|(id, _)| id.job.clone()));
+        }
+        let wanted = |w: &UserJob| w.known_accepted && !w.wants_withdrawal && w.known_final.is_none();
+        let mut running: Vec<String> = running.into_iter().filter(|id| wanted(&self.jobs[id])).collect();
+        for _ in 0..self.rng.random_range(1..=3) {
+            if running.is_empty() {
+                return;
+            }
+            let index = self.rng.random_range(0..running.len());
+            let job = running.swap_remove(index);
+            self.jobs.get_mut(&job).unwrap().wants_withdrawal = true;
+            let last = served_from + Micros::from_secs(4);
+            let mut at = served_from;
+            while at < last {
+                let request = UserRequest::Withdraw;
+                self.schedule_at(at, SimEvent::SendUserRequest { node, job: job.clone(), request });
+                at += Micros(self.rng.random_range(20 * MS..150 * MS));
+            }
+        }
+    }
+
     /// Makes a user withdraw a job within the given number of microseconds, besides its other requests.
     pub(super) fn withdraw_job(&mut self, id: String, within: u64) {
         self.jobs.get_mut(&id).unwrap().wants_withdrawal = true;
--- a/src/coordination/worker_lease_expiry.rs
+++ b/src/coordination/worker_lease_expiry.rs
@@ -11,6 +11,7 @@
     /// Removes the tasks of own machines whose workers' leases have certainly expired.
     pub(super) fn machines_tick(&mut self) {
         self.propagate_gang_stops();
+        self.log_unknown_usage();
         self.retired.retain(|_, job| !job.placements.is_empty());
         // All tasks of a withdrawn job must have ended `cancel_s` after its withdrawal.
         let cancel_period = Micros::from_secs_f64(self.settings.params.workers.cancel_s);
