Limits: a job keeps its team and size until every machine that may hold its tasks was heard

Cause: `retire` dropped a job without known placements, and with it team and size, though no machine had been heard.

Change: while this controller is not in the view, or has not accounted for all machines, every job that ends is kept. The tasks that machines then show count what they take, and are marked to be stopped, as those are that were known when the job ended, so that a call stops them. Kept jobs without tasks go when the takeover is over.

--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -74,6 +74,12 @@
         self.reset_end_announcements();
     }
 
+    /// Whether machines may still show tasks that this controller has not accounted for, so that the team and the size
+    /// of a job are needed beyond the job's end.
+    pub(super) fn awaits_machines(&self) -> bool {
+        !self.is_view_member || self.takeover_in_progress
+    }
+
     /// Removes a job that has ended, and returns how many tasks it had. Its tasks count against its team's limit until
     /// they are known to be gone.
     pub(super) fn retire(&mut self, id: &str) -> Option<u32> {
@@ -84,7 +90,7 @@
             team = job.spec.team,
             unfinished = job.unfinished(),
             placed = job.placements.len(),
-            takeover_in_progress = self.takeover_in_progress,
+            awaits_machines = self.awaits_machines(),
             unresolved_machines = self.unresolved_machines.len(),
             "job ended"
         );
@@ -95,7 +101,7 @@
         // resources are needed.
         let tasks = job.spec.tasks;
         let on = job.placements.clone();
-        if !on.is_empty() {
+        if !on.is_empty() || self.awaits_machines() {
             self.retired.insert(id.to_owned(), job);
         }
         for (index, machines) in &on {
@@ -569,7 +575,8 @@
 
     /// The resources that a task of a job needs; none for an unknown job.
     pub(super) fn need_of(&self, job: &str) -> Resources {
-        self.jobs.get(job).map(|j| j.spec.need()).unwrap_or_default()
+        let job = self.jobs.get(job).or_else(|| self.retired.get(job));
+        job.map(|j| j.spec.need()).unwrap_or_default()
     }
 
     /// Whether the state service has a record of a task's completion. A job without a live record counts as completed.
--- a/src/coordination/simulation/unknown_tasks.rs
+++ b/src/coordination/simulation/unknown_tasks.rs
@@ -456,6 +456,39 @@
     }
 }
 
+/// Guards against a team that waits since a job, withdrawn before any machine was heard, counts more than its tasks take.
+#[test]
+fn a_job_withdrawn_before_its_machines_are_heard_counts_what_its_tasks_take() {
+    for seed in 400..410 {
+        let mut scene = Scene::new(seed, INCIDENT);
+        scene.refuse_all();
+        scene.wait_for_records();
+        scene.withdraw();
+        scene.wait_for_host();
+        let controller = scene.controller();
+        assert!(controller.machines_with_unknown_tasks.is_empty(), "seed {seed}: the task is unknown");
+        let counted = controller.team_usage("blue").0;
+        assert!(counted as f64 <= LIMIT * 1e3, "seed {seed}: {counted} counted");
+    }
+}
+
+/// Guards against a withdrawn job whose task runs on because its machine was heard after the withdrawal, and the worker's
+/// reports reach nobody who would answer with a stop.
+#[test]
+fn a_task_of_a_job_withdrawn_before_its_machine_is_heard_is_stopped_by_a_call() {
+    for seed in 420..430 {
+        let mut scene = Scene::new(seed, INCIDENT);
+        scene.refuse_all();
+        scene.wait_for_records();
+        scene.withdraw();
+        scene.wait_for_host();
+        let unknown = scene.unknown.clone();
+        let report_interval = Micros::from_secs_f64(LONG_LEASES.0);
+        wait_for(&mut scene.world, report_interval, "stop of the withdrawn task", |w| {
+            unknown.iter().all(|id| present_task_count(w, id) == 0)
+        });
+    }
+}
 /// A random run of teams at their limits: an outage in half of the rounds, then all controllers are refused in turn, while
 /// jobs are withdrawn at the first that is back and at others.
 fn run_at_limits_refused_in_turn(seed: u64) -> World {
--- a/src/coordination/worker_lease_expiry.rs
+++ b/src/coordination/worker_lease_expiry.rs
@@ -12,7 +12,8 @@
     pub(super) fn machines_tick(&mut self) {
         self.propagate_gang_stops();
         self.log_unknown_usage();
-        self.retired.retain(|_, job| !job.placements.is_empty());
+        let awaits_machines = self.awaits_machines();
+        self.retired.retain(|_, job| awaits_machines || !job.placements.is_empty());
         // All tasks of a withdrawn job must have ended `cancel_s` after its withdrawal.
         let cancel_period = Micros::from_secs_f64(self.settings.params.workers.cancel_s);
         while self.recently_removed.front().is_some_and(|(at, ..)| self.now.since(*at) > cancel_period) {
--- a/src/coordination/worker_reports.rs
+++ b/src/coordination/worker_reports.rs
@@ -188,7 +188,9 @@
                 // How an attempt was started that is not known here is not known either.
                 highest_call_token: same_attempt.map_or(Some(machine.token), |k| k.highest_call_token),
                 announced_in_status: 0,
-                stop_grace: same_attempt.and_then(|k| k.stop_grace),
+                stop_grace: same_attempt
+                    .and_then(|k| k.stop_grace)
+                    .or_else(|| self.retired.contains_key(&id.job).then_some(Micros::ZERO)),
                 stop_sent: same_attempt.is_some_and(|k| k.stop_sent),
                 started_at: same_attempt.map_or(now, |k| k.started_at),
             };
