Limits: what workers show running is checked against the limits at all times

The check of total usage is skipped while a member may count too much, which is when tasks of unknown jobs run, so the breach of the incident went unnoticed by the program.

Beyond the limit for three seconds is a breach, `running_beyond_limit`: an error in the log, counted in `quota_breaches_total`, and the team is halted at that controller.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -194,7 +194,7 @@
     pub(crate) quota_record: (QuotaRecord, u64),
     /// Block records of machines by number, with their revisions.
     pub(crate) shards: BTreeMap<usize, (Block, u64)>,
-    /// Jobs that have ended while some of their tasks may still be on machines.
+    /// Jobs that have ended while some of their tasks may still be on machines, known or not.
     pub(crate) retired: BTreeMap<String, Job>,
     /// By job, the machines with tasks of jobs that this controller has no record of: the record has not been read yet,
     /// or has been deleted. A new job looks up its machines here instead of scanning all of them.
@@ -485,6 +485,7 @@
         self.check_polls();
         self.read_final_states();
         self.machines_tick();
+        self.check_running();
         self.lift_halts();
         self.record_uninformed();
         self.update_wait_reasons();
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -5,11 +5,13 @@
 //! is not, usage is not counted against it. Once it is, the leader divides it: the first record in a view grants
 //! nothing to any controller, and later ones are written when all members have accounted for what they took over and
 //! have applied the record in force (`shares`). An owner starts tasks of a team as far as its own share has room beside
-//! the usage that it counts (`usage`, `unknown_tasks`, `permit`). The invariants are checked at run time (`invariants`).
+//! the usage that it counts (`usage`, `unknown_tasks`, `permit`). The invariants are checked at run time (`invariants`,
+//! `running`).
 
 mod division;
 mod invariants;
 mod permit;
+mod running;
 mod shares;
 mod unknown_tasks;
 mod usage;
--- a/src/coordination/quota/invariants.rs
+++ b/src/coordination/quota/invariants.rs
@@ -13,6 +13,9 @@
 /// How long the members together may seem to use more than a limit: their statuses are from different moments.
 const USAGE_EXCESS_GRACE: Micros = Micros::from_secs(3);
 
+/// Time between two comparisons of what is known to run with the limits, which look at every task.
+const RUNNING_CHECK_INTERVAL: Micros = Micros::from_secs(1);
+
 /// An invariant of teams' limits that has been violated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Breach {
@@ -22,6 +25,8 @@
     SharesBeyondLimit,
     /// All members together use more than the limit, and no overcount explains it.
     UsageBeyondLimit,
+    /// More than the limit is known to run by the workers' own messages.
+    RunningBeyondLimit,
 }
 
 impl Breach {
@@ -31,12 +36,18 @@
             Breach::PlannedBeyondShare => "planned_beyond_share",
             Breach::SharesBeyondLimit => "shares_beyond_limit",
             Breach::UsageBeyondLimit => "usage_beyond_limit",
+            Breach::RunningBeyondLimit => "running_beyond_limit",
         }
     }
 
     /// All kinds, for the metrics.
-    pub fn all() -> [Breach; 3] {
-        [Breach::PlannedBeyondShare, Breach::SharesBeyondLimit, Breach::UsageBeyondLimit]
+    pub fn all() -> [Breach; 4] {
+        [
+            Breach::PlannedBeyondShare,
+            Breach::SharesBeyondLimit,
+            Breach::UsageBeyondLimit,
+            Breach::RunningBeyondLimit,
+        ]
     }
 }
 
@@ -60,6 +71,9 @@
     pub(super) logged_unknown_usage: UnknownUsage,
     /// Since when the members have seemed to use more than a team's limit.
     exceeded_since: BTreeMap<String, Micros>,
+    /// Since when more than a team's limit has been shown running.
+    running_exceeded_since: BTreeMap<String, Micros>,
+    next_running_check_at: Micros,
     /// How often the usage of all members could be compared with the limits, and how often it could not because members
     /// may overcount.
     usage_checks: (u64, u64),
@@ -87,7 +101,7 @@
 }
 
 /// Whether an amount in thousandths exceeds a limit; a limit of 0 is no limit.
-fn exceeds(limit: f64, amount: u64) -> bool {
+pub(super) fn exceeds(limit: f64, amount: u64) -> bool {
     limit > 0.0 && amount > (limit * 1e3) as u64
 }
 
@@ -196,6 +210,23 @@
         }
     }
 
+    /// Compares what is known to run with all limits, whatever else is uncertain.
+    pub(in crate::coordination) fn check_running(&mut self) {
+        let now = self.now;
+        if now < self.quota_guard.next_running_check_at {
+            return;
+        }
+        self.quota_guard.next_running_check_at = now + RUNNING_CHECK_INTERVAL;
+        let teams = self.teams_running_beyond_limit();
+        self.quota_guard.running_exceeded_since.retain(|team, _| teams.contains(team));
+        for team in teams {
+            let since = *self.quota_guard.running_exceeded_since.entry(team.clone()).or_insert(now);
+            if now.since(since) > USAGE_EXCESS_GRACE && !self.quota_guard.is_halted(&team) {
+                self.record_breach(Breach::RunningBeyondLimit, &team);
+            }
+        }
+    }
+
     /// What all members report that their jobs of a team use.
     fn reported_usage(&self, team: &str) -> (u64, u64) {
         let statuses = self
@@ -217,7 +248,10 @@
         let any = Resources { cpu: 1, gpu: 1, memory: 0 };
         let within = |team: &String| self.own_share(team).is_none() || self.within_share(team, any);
         halted.retain(|team| {
-            overgranted.contains(team) || self.quota_guard.exceeded_since.contains_key(team) || !within(team)
+            overgranted.contains(team)
+                || self.quota_guard.exceeded_since.contains_key(team)
+                || self.quota_guard.running_exceeded_since.contains_key(team)
+                || !within(team)
         });
         self.quota_guard.halted = halted;
     }
--- a/src/coordination/simulation/quota_guard.rs
+++ b/src/coordination/simulation/quota_guard.rs
@@ -88,6 +88,20 @@
     }
 }
 
+/// Guards the check itself: a controller that does not lead detects that workers show more of a team than its limit, while
+/// tasks of an unknown job make all counts uncertain.
+#[test]
+#[should_panic(expected = "running_beyond_limit: blue")]
+fn running_tasks_beyond_the_limit_are_detected_while_counts_are_uncertain() {
+    let mut world = cluster_with_divided_limit(504);
+    let checker = (world.leader().unwrap() + 1) % 3;
+    let controller = world.controllers[checker].as_mut().unwrap();
+    let machine = controller.machines.iter().next().unwrap().0.clone();
+    controller.machines_with_unknown_tasks.insert("j-unknown".into(), [machine].into());
+    assert!(!controller.usage_is_exact());
+    controller.settings.params.teams[0].cpus_max = 30.0;
+    run_for(&mut world, Micros::from_secs(8));
+}
 /// Delays the leader's writes of the quota record.
 fn delay_quota_writes(t: &Transaction) -> Option<CommitFault> {
     let written = t.writes.iter().any(|w| matches!(w, Write::Put { key, .. } if key == records::QUOTA_KEY));
