Soak: all controllers are refused in turn, with cancellations at the first that is back

In runs with even seeds the state service refuses all controllers for longer than their leases and serves them again one by one. The workers' leases last 10 s there instead of 6 s, so that tasks outlive the controllers' registrations.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -27,6 +27,8 @@
 const MAX_MACHINES: usize = 36;
 const WORKER_SETTINGS: WorkerSettings =
     WorkerSettings { report_ms: 1_000, lease_ms: 6_000, gang_wait_ms: 8_000 };
+/// Workers' lease where all controllers are refused in turn. The controllers' leases follow from it and last 4 s.
+const LONG_WORKER_LEASE_MS: Ms = 10_000;
 /// Time after a confirmed cancellation by which the tasks of the job must have ended.
 const CANCEL_MS: Ms = 15_000;
 /// When the last fault is over, and when the run ends at the latest.
@@ -62,8 +64,18 @@
     pub logs: PathBuf,
 }
 
+/// The settings of the workers in a seed's run.
+fn worker_settings(seed: u64) -> WorkerSettings {
+    if schedule::refuses_in_turn(seed) {
+        WorkerSettings { lease_ms: LONG_WORKER_LEASE_MS, ..WORKER_SETTINGS }
+    } else {
+        WORKER_SETTINGS
+    }
+}
+
 fn settings_toml(
     node: usize,
+    workers: WorkerSettings,
     own: &Address,
     members: &[(usize, String)],
     cloud: &str,
@@ -92,9 +104,9 @@
     let seconds = |ms: Ms| ms as f64 / 1e3;
     text += &format!(
         "[params.workers]\nreport_s = {:?}\nlease_s = {:?}\ngang_wait_s = {:?}\ngang_peer_s = 2.0\ncancel_s = {:?}\n",
-        seconds(WORKER_SETTINGS.report_ms),
-        seconds(WORKER_SETTINGS.lease_ms),
-        seconds(WORKER_SETTINGS.gang_wait_ms),
+        seconds(workers.report_ms),
+        seconds(workers.lease_ms),
+        seconds(workers.gang_wait_ms),
         seconds(CANCEL_MS)
     );
     text += "[params.state]\nrps = 600.0\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 16\n";
@@ -102,7 +114,7 @@
     text + "[params.machine_limits]\ncpu = 0.5\nram_mb = 200.0\nsockets = 700\n"
 }
 
-fn initial_state() -> (History, Fleet) {
+fn initial_state(workers: WorkerSettings) -> (History, Fleet) {
     let limit = |cpu: u64, gpu: u64| Amount { cpu: cpu * 1_000, gpu: gpu * 1_000 };
     let limits: BTreeMap<String, Amount> =
         TEAMS.iter().map(|(name, cpu, gpu)| ((*name).to_owned(), limit(*cpu, *gpu))).collect();
@@ -111,7 +123,7 @@
         MachineType { name: "c16", capacity: limit(16, 0) },
         MachineType { name: "g16", capacity: limit(16, 4) },
     ];
-    (history, Fleet::new(WORKER_SETTINGS, machine_types, MAX_MACHINES))
+    (history, Fleet::new(workers, machine_types, MAX_MACHINES))
 }
 
 /// The controller that the leader record in the state service names.
@@ -131,7 +143,7 @@
         nodes.push(Address { api: api.address.clone(), internal: internal.address.clone() });
         claims.extend([api, internal]);
     }
-    let (history, fleet) = initial_state();
+    let (history, fleet) = initial_state(worker_settings(seed));
     let rig = Arc::new(Rig::new(seed, nodes, history, fleet));
     let mut background_tasks = JoinSet::new();
     let cloud_listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -151,7 +163,14 @@
             peer_links.push(Link { from: node, to, listen_address: claim.address.clone() });
             claims.push(claim);
         }
-        settings_texts.push(settings_toml(node, &rig.nodes[node], &members, &cloud_addr, &state));
+        settings_texts.push(settings_toml(
+            node,
+            worker_settings(seed),
+            &rig.nodes[node],
+            &members,
+            &cloud_addr,
+            &state,
+        ));
     }
     let processes = Arc::new(ControllerProcesses::new(&folder, &settings_texts)?);
     for link in peer_links {
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -97,12 +97,38 @@
             fault,
         });
     }
+    if refuses_in_turn(seed) {
+        entries.extend(refusals_in_turn(&mut rng, nodes));
+    }
     // Answered orders are repeated from the first jobs on, so that copies arrive while controllers restart.
     entries.push(ScheduledFault { at: 0, duration: LAST_FAULT_START, fault: Fault::RepeatedCommands });
     entries.sort_by_key(|e| e.at);
     entries
 }
 
+/// Whether in a seed's run the state service refuses all controllers in turn. Its workers keep their tasks for longer than
+/// a refused controller takes to come back.
+pub fn refuses_in_turn(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
+/// The state service refuses all controllers for longer than their leases, and serves them again one by one; users
+/// cancel jobs when the first is served.
+fn refusals_in_turn(rng: &mut StdRng, nodes: usize) -> Vec<ScheduledFault> {
+    let at = rng.random_range(FIRST_FAULT..LAST_FAULT_START - 10_000);
+    let first = rng.random_range(0..nodes);
+    let mut duration = rng.random_range(5_000..7_000);
+    let cancel = Fault::Cancel { count: rng.random_range(2..5), hang: 0 };
+    let cancel_at = at + duration + rng.random_range(0..1_000);
+    let mut entries = vec![ScheduledFault { at: cancel_at, duration: 0, fault: cancel }];
+    for n in 0..nodes {
+        let node = Some((first + n) % nodes);
+        entries.push(ScheduledFault { at, duration, fault: Fault::StoreRefuses { node } });
+        duration += rng.random_range(100..2_500);
+    }
+    entries
+}
+
 fn random_fault(rng: &mut StdRng, nodes: usize) -> Fault {
     let node = rng.random_range(0..nodes);
     let to = (node + rng.random_range(1..nodes)) % nodes;
