--- a/src/coordination/quota/invariants.rs
+++ b/src/coordination/quota/invariants.rs
@@ -210,13 +210,14 @@
         }
     }
 
-    /// Compares what is known to run with all limits, whatever else is uncertain.
+    /// Compares what is known to run with all limits, whatever else is uncertain, and logs what unknown tasks count.
     pub(in crate::coordination) fn check_running(&mut self) {
         let now = self.now;
-        if now < self.quota_guard.next_running_check_at {
+        if now < self.quota_guard.next_running_check_at || !self.any_team_limited() {
             return;
         }
         self.quota_guard.next_running_check_at = now + RUNNING_CHECK_INTERVAL;
+        self.log_unknown_usage();
         let teams = self.teams_running_beyond_limit();
         self.quota_guard.running_exceeded_since.retain(|team, _| teams.contains(team));
         for team in teams {
--- a/src/coordination/quota/unknown_tasks.rs
+++ b/src/coordination/quota/unknown_tasks.rs
@@ -50,7 +50,7 @@
     }
 
     /// Logs a change of what tasks of unknown jobs count.
-    pub(in crate::coordination) fn log_unknown_usage(&mut self) {
+    pub(super) fn log_unknown_usage(&mut self) {
         let usage = self.unknown_usage();
         if self.quota_guard.logged_unknown_usage == usage {
             return;
--- a/src/coordination/worker_lease_expiry.rs
+++ b/src/coordination/worker_lease_expiry.rs
@@ -11,7 +11,6 @@
     /// Removes the tasks of own machines whose workers' leases have certainly expired.
     pub(super) fn machines_tick(&mut self) {
         self.propagate_gang_stops();
-        self.log_unknown_usage();
         let awaits_machines = self.awaits_machines();
         self.retired.retain(|_, job| awaits_machines || !job.placements.is_empty());
         // All tasks of a withdrawn job must have ended `cancel_s` after its withdrawal.
