--- a/src/coordination/quota/division/tests.rs
+++ b/src/coordination/quota/division/tests.rs
@@ -34,6 +34,18 @@
     (0..rng.random_range(0..5)).map(|_| unit(rng)).collect()
 }
 
+/// Members that use no more than a limit together and could start some units, and what they leave of the limit.
+fn random_members(rng: &mut StdRng, limit: Resources) -> (Vec<MemberShare>, Resources) {
+    let mut members = vec![MemberShare::default(); rng.random_range(1..6)];
+    let mut left = limit;
+    for m in &mut members {
+        m.used = up_to(rng, left);
+        left = left.minus(m.used);
+        m.units = random_units(rng);
+    }
+    (members, left)
+}
+
 /// Guards against shares that add up to more than a limit. After a new view each controller was given the usage that it
 /// counted as its share, with tasks that may be on two machines counted twice. When the count fell, the controller
 /// started as many more: 41 of 40.
@@ -171,14 +183,8 @@
     for seed in 0..500 {
         let mut rng = StdRng::seed_from_u64(seed);
         let limit = amount(40_000, 6_000);
-        let mut members = vec![MemberShare::default(); rng.random_range(1..6)];
-        let mut left = limit;
-        for m in &mut members {
-            m.used = up_to(&mut rng, left);
-            left = left.minus(m.used);
-            m.granted = up_to(&mut rng, m.used);
-            m.units = random_units(&mut rng);
-        }
+        let (mut members, _) = random_members(&mut rng, limit);
+        members.iter_mut().for_each(|m| m.granted = up_to(&mut rng, m.used));
         started += settle(seed, limit, &mut members);
     }
     assert!(started > 500, "only {started} units were started");
@@ -225,13 +231,7 @@
     for seed in 0..2_000 {
         let mut rng = StdRng::seed_from_u64(seed);
         let limit = amount(40_000, 6_000);
-        let mut members = vec![MemberShare::default(); rng.random_range(1..6)];
-        let mut left = limit;
-        for m in &mut members {
-            m.used = up_to(&mut rng, left);
-            left = left.minus(m.used);
-            m.units = random_units(&mut rng);
-        }
+        let (mut members, left) = random_members(&mut rng, limit);
         // Any division may have been in force.
         let mut spare = left;
         for m in &mut members {
--- a/src/coordination/simulation/quota_fault_combinations.rs
+++ b/src/coordination/simulation/quota_fault_combinations.rs
@@ -295,18 +295,23 @@
     world.send_user_request(node, id.to_owned(), UserRequest::Withdraw);
 }
 
-pub(super) const TEAMS: [(&str, f64, f64); 3] =
-    [("blue", 30.0, 6.0), ("green", 20.0, 4.0), ("red", 12.0, 3.0)];
+const TEAMS: [(&str, f64, f64); 3] = [("blue", 30.0, 6.0), ("green", 20.0, 4.0), ("red", 12.0, 3.0)];
 
-/// A cluster in which each team has just submitted more work of both kinds than its limits allow at once, and the
-/// number of these jobs.
-pub(super) fn cluster_with_work_beyond_limits(seed: u64) -> (World, u32) {
+/// A cluster, not started yet, in which each team has limits of both kinds.
+pub(super) fn cluster_with_limited_teams(seed: u64) -> World {
     let mut world = World::new(seed, FaultProfile::default());
     set_limits(&mut world, &TEAMS);
-    world.task_run_time = 25 * S..60 * S;
     for n in 0..16 {
         world.add_machine(["c16", "g8"][n % 2], ["east", "west"][n / 2 % 2], false);
     }
+    world
+}
+
+/// A cluster in which each team has just submitted more work of both kinds than its limits allow at once, and the
+/// number of these jobs.
+pub(super) fn cluster_with_work_beyond_limits(seed: u64) -> (World, u32) {
+    let mut world = cluster_with_limited_teams(seed);
+    world.task_run_time = 25 * S..60 * S;
     world.run(Micros::from_secs(6));
     let mut n = 0;
     submit_more_work(&mut world, &mut n, 8);
--- a/src/coordination/simulation/unknown_tasks.rs
+++ b/src/coordination/simulation/unknown_tasks.rs
@@ -6,7 +6,7 @@
 use super::fault_injection::{run_each_with, soak_factor};
 use super::outages::DEPLOYMENT_TIMINGS;
 use super::quota_fault_combinations::{
-    TEAMS, present_task_count, request_withdrawal, run_for, set_limits, submit_more_work,
+    cluster_with_limited_teams, present_task_count, request_withdrawal, run_for, set_limits, submit_more_work,
 };
 use super::*;
 use crate::coordination::Phase;
@@ -325,6 +325,14 @@
         }
     }
 
+    /// The jobs are withdrawn before the host is heard, and the host then shows their tasks.
+    fn withdraw_before_host(&mut self) {
+        self.refuse_all();
+        self.wait_for_records();
+        self.withdraw();
+        self.wait_for_host();
+    }
+
     /// Plays the case; the world checks limits and counts at every step. Returns whether a start of the rival was
     /// planned beside the unknown tasks.
     fn play(&mut self) -> bool {
@@ -461,10 +469,7 @@
 fn a_job_withdrawn_before_its_machines_are_heard_counts_what_its_tasks_take() {
     for seed in 400..410 {
         let mut scene = Scene::new(seed, INCIDENT);
-        scene.refuse_all();
-        scene.wait_for_records();
-        scene.withdraw();
-        scene.wait_for_host();
+        scene.withdraw_before_host();
         let controller = scene.controller();
         assert!(controller.machines_with_unknown_tasks.is_empty(), "seed {seed}: the task is unknown");
         let counted = controller.team_usage("blue").0;
@@ -478,10 +483,7 @@
 fn a_task_of_a_job_withdrawn_before_its_machine_is_heard_is_stopped_by_a_call() {
     for seed in 420..430 {
         let mut scene = Scene::new(seed, INCIDENT);
-        scene.refuse_all();
-        scene.wait_for_records();
-        scene.withdraw();
-        scene.wait_for_host();
+        scene.withdraw_before_host();
         let unknown = scene.unknown.clone();
         let report_interval = Micros::from_secs_f64(LONG_LEASES.0);
         wait_for(&mut scene.world, report_interval, "stop of the withdrawn task", |w| {
@@ -492,13 +494,9 @@
 /// A random run of teams at their limits: an outage in half of the rounds, then all controllers are refused in turn, while
 /// jobs are withdrawn at the first that is back and at others.
 fn run_at_limits_refused_in_turn(seed: u64) -> World {
-    let mut world = World::new(seed, FaultProfile::default());
+    let mut world = cluster_with_limited_teams(seed);
     world.set_worker_timings(DEPLOYMENT_TIMINGS[seed as usize % DEPLOYMENT_TIMINGS.len()]);
-    set_limits(&mut world, &TEAMS);
     world.task_run_time = 25 * S..90 * S;
-    for n in 0..16 {
-        world.add_machine(["c16", "g8"][n % 2], ["east", "west"][n / 2 % 2], false);
-    }
     world.run(Micros::from_secs(6));
     let mut n = 0;
     submit_more_work(&mut world, &mut n, 6);
