--- a/src/coordination/wait_reasons.rs
+++ b/src/coordination/wait_reasons.rs
@@ -12,7 +12,7 @@
 /// How often the reasons are updated.
 const UPDATE_INTERVAL: Micros = Micros::from_secs(1);
 /// A job is logged once it has waited this long for the same reason.
-const LOG_AFTER: Micros = Micros::from_secs(30);
+const LOG_AFTER: Micros = Micros::from_secs(20);
 /// Maximum number of jobs logged per update.
 const MAX_LOGGED: usize = 20;
 
