Limits: only a controller whose records are current compares what runs with the limits

Cause: a controller that the state service refuses still takes machines for its own that have been granted to others, and adds their former tasks to what it hears of the others.

Evidence: with the age in the message of the failed check: not entitled, changes read 29.5 and 22.4 s ago.

Change: only a controller that may act and has read the changes within two seconds makes the comparison.

--- a/src/coordination/quota/running.rs
+++ b/src/coordination/quota/running.rs
@@ -11,9 +11,16 @@
 /// How old an owner's last status may be for its machines to count. Statuses come every second.
 const MAX_STATUS_AGE: Micros = Micros::from_secs(2);
 
+/// How old this controller's own records may be. Their changes are read every second or so.
+const MAX_RECORD_AGE: Micros = Micros::from_secs(2);
+
 impl Controller {
-    /// The teams of which more is known to run than their limits allow.
+    /// The teams of which more is known to run than their limits allow; none while this controller's records are old: it
+    /// may still take machines for its own whose tasks another owner has started elsewhere.
     pub(super) fn teams_running_beyond_limit(&self) -> BTreeSet<String> {
+        if !self.entitled() || self.now.since(self.replica_as_of) > MAX_RECORD_AGE {
+            return BTreeSet::new();
+        }
         // A task may be shown by two machines while their owners' statuses are from different moments, but is counted
         // twice only in this first, cheaper pass.
         let all = self.shown_usage(|_| true);
