--- /dev/null
+++ b/review/rig-2/src/cases.rs
@@ -0,0 +1,232 @@
+//! The cases. Each plays a small deployment, with its disruption or without it, and returns the broken rules.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::cluster::{Cluster, job, kind, selatferi, spec};
+use crate::record::Recorder;
+
+pub type Outcome = Result<Vec<String>, String>;
+
+/// The rule's bound on a wait in calm.
+const LONGEST_WAIT_MS: u64 = 90_000;
+
+pub fn run(case: &str, record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    match case {
+        "kept" => kept(record, scratch, program, trouble),
+        "gang" => gang(record, scratch, program, trouble),
+        "rank" => rank(record, scratch, program, trouble),
+        "sick" => sick(record, scratch, program, trouble),
+        "tiny" => tiny(record, scratch, program, trouble),
+        "chaos" => crate::chaos::chaos(record, scratch, program, trouble),
+        "calm" => crate::calm::calm(record, scratch, program, trouble),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+fn sleep(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// A deployment with machines of 64 processors only, of which the cloud has so many.
+fn start(
+    record: &Arc<Recorder>,
+    scratch: &Path,
+    program: &[String],
+    machines: usize,
+) -> Result<Arc<Cluster>, String> {
+    let site = selatferi(vec![kind("hull64", 64.0, 0.0, 512.0, 2_000, machines)]);
+    let c = Cluster::start(site, record.clone(), scratch, program);
+    if c.wait_healthy(20_000) { Ok(c) } else { Err("the controllers do not become healthy".to_owned()) }
+}
+
+/// A gang of the class `seatlock`: tasks of 30 processors and 128 GB in one zone.
+fn seatlock(id: &str, rank: &str, pieces: u32, run_s: f64) -> Value {
+    let mut s = spec(id, "opsdesk", "ensemble", rank, pieces, 30.0, 128.0, run_s);
+    s["Jobclass"] = "seatlock".into();
+    s["OneZone"] = true.into();
+    s
+}
+
+/// Uploads a job's description and submits it until it is accepted.
+fn submit(c: &Cluster, node: usize, spec: &Value, run_ms: u64) -> Result<(), String> {
+    c.upload(job(spec, run_ms));
+    c.submit_until_accepted(node, spec).map(drop).ok_or(format!("{} was not accepted", spec["Uid"]))
+}
+
+/// Polls jobs about every 5 s, as their users do, until all are done or the time is over. Returns the broken rules,
+/// and the jobs that were left waiting.
+fn watch(c: &Cluster, ids: &[&str], for_ms: u64) -> Vec<String> {
+    let end = c.record.now() + for_ms;
+    let (mut open, mut n) = (ids.to_vec(), 0);
+    while c.record.now() < end && !open.is_empty() {
+        sleep(250);
+        c.watch_processes();
+        c.observe_waiting();
+        n += 1;
+        if n % 20 == 0 {
+            open.retain(|id| c.poll((n / 20) % 3, id).state != "done");
+        }
+    }
+    let mut broken = c.violations();
+    broken.extend(c.left_waiting(LONGEST_WAIT_MS));
+    broken
+}
+
+/// Gangs of a class that must start sooner than a machine boots come three times as often for a few seconds, and end.
+/// Then jobs come whose tasks fit into any machine, but not beside a task of that class.
+fn kept(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 4)?;
+    submit(&c, 0, &seatlock("j-000001", "urgent", 1, 3.0), 3_000)?;
+    if trouble {
+        submit(&c, 1, &seatlock("j-000002", "urgent", 2, 3.0), 3_000)?;
+        submit(&c, 2, &seatlock("j-000003", "urgent", 3, 3.0), 3_000)?;
+    }
+    let gangs = ["j-000001", "j-000002", "j-000003"];
+    let gangs = &gangs[..if trouble { 3 } else { 1 }];
+    while !gangs.iter().all(|id| c.poll(0, id).state == "done") {
+        if record.now() > 20_000 {
+            return Err("the gangs were not done in time".to_owned());
+        }
+        sleep(500);
+    }
+    c.troubles_over();
+    let ids = ["j-000011", "j-000012", "j-000013"];
+    for (n, id) in ids.iter().enumerate() {
+        submit(&c, n, &spec(id, "opsdesk", "sweep", "normal", 2, 40.0, 60.0, 5.0), 5_000)?;
+    }
+    Ok(watch(&c, &ids, 96_000))
+}
+
+/// Gangs come three times as often for some seconds. Those that came do not all fit at a time; small jobs fit beside
+/// the one that runs.
+fn gang(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 2)?;
+    submit(&c, 0, &seatlock("j-000001", "normal", 3, 150.0), 150_000)?;
+    while c.poll(0, "j-000001").state != "running" {
+        if record.now() > 20_000 {
+            return Err("the first gang does not run".to_owned());
+        }
+        sleep(500);
+    }
+    if trouble {
+        submit(&c, 1, &seatlock("j-000002", "normal", 2, 150.0), 150_000)?;
+        submit(&c, 2, &seatlock("j-000003", "normal", 2, 150.0), 150_000)?;
+    }
+    sleep(1_000);
+    c.troubles_over();
+    let ids = ["j-000011", "j-000012", "j-000013"];
+    for (n, id) in ids.iter().enumerate() {
+        submit(&c, n, &spec(id, "opsdesk", "sweep", "normal", 2, 2.0, 2.8, 5.0), 5_000)?;
+    }
+    Ok(watch(&c, &ids, 96_000))
+}
+
+/// Urgent jobs come twice as often for some seconds. The one that came later does not fit beside a gang that runs;
+/// small jobs of the gang's rank do.
+fn rank(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 1)?;
+    let urgent = |id: &str| spec(id, "opsdesk", "sweep", "urgent", 1, 30.0, 64.0, 3.0);
+    submit(&c, 0, &urgent("j-000001"), 3_000)?;
+    while c.poll(0, "j-000001").state == "queued" && record.now() < 15_000 {
+        sleep(300);
+    }
+    let mut gang = spec("j-000002", "opsdesk", "ensemble", "normal", 2, 20.0, 64.0, 150.0);
+    gang["OneZone"] = true.into();
+    submit(&c, 0, &gang, 150_000)?;
+    while c.poll(0, "j-000001").state != "done" || c.poll(0, "j-000002").state != "running" {
+        if record.now() > 18_000 {
+            return Err("the first jobs do not run".to_owned());
+        }
+        sleep(300);
+    }
+    if trouble {
+        submit(&c, 1, &urgent("j-000009"), 3_000)?;
+    }
+    sleep(500);
+    c.troubles_over();
+    let ids = ["j-000011", "j-000012", "j-000013", "j-000014", "j-000015"];
+    for (n, id) in ids.iter().enumerate() {
+        submit(&c, n % 3, &spec(id, "opsdesk", "sweep", "normal", 2, 2.0, 2.8, 5.0), 5_000)?;
+    }
+    Ok(watch(&c, &ids, 96_000))
+}
+
+/// Jobs of many small tasks come three times as often.
+fn tiny(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 1)?;
+    let ids = ["j-000001", "j-000002", "j-000003"];
+    let ids = &ids[..if trouble { 3 } else { 1 }];
+    for (n, id) in ids.iter().enumerate() {
+        submit(&c, n, &spec(id, "opsdesk", "sweep", "normal", 1_000, 0.05, 0.1, 30.0), 30_000)?;
+    }
+    c.troubles_over();
+    let mut broken = watch(&c, ids, 106_000);
+    c.fleet.with(|w, _| {
+        for id in ids {
+            let done = w.done.get(*id).map_or(0, |d| d.len());
+            record.note(&format!("{id}: {done} of 1000 tasks done"));
+        }
+        let done: usize = w.done.values().map(|d| d.len()).sum();
+        let (reports, expiries) =
+            w.machines.values().fold((0, 0), |(r, e), m| (r + m.oversize_reports, e + m.expiries));
+        record.note(&format!("{reports} reports over 64 KiB, {expiries} leases over"));
+        // The machine runs 1,280 of the tasks at a time, so that all 3,000 take 90 s.
+        if expiries > 0 && done < 1_280 {
+            broken.push(format!(
+                "{done} of {} tasks done in 106 s: the worker's lease ran out {expiries} times, as {reports} reports \
+                 were too long to be taken",
+                ids.len() * 1_000
+            ));
+        }
+    });
+    Ok(broken)
+}
+
+/// A machine fails every task that it starts, and the cloud has others to give.
+fn sick(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 4)?;
+    let ids = ["j-000001", "j-000002"];
+    for (n, id) in ids.iter().enumerate() {
+        submit(&c, n, &spec(id, "opsdesk", "sweep", "normal", 4, 2.0, 2.8, 5.0), 5_000)?;
+    }
+    // The first machine that the cloud gives is the faulty one.
+    while trouble {
+        let found = c.fleet.with(|w, now| {
+            let first = w.machines.values_mut().next();
+            first.map(|m| m.sick_until = now + 125_000).is_some()
+        });
+        if found {
+            break;
+        }
+        if record.now() > 15_000 {
+            return Err("no machine was rented".to_owned());
+        }
+        sleep(20);
+    }
+    let mut broken = watch(&c, &ids, 100_000);
+    c.fleet.with(|w, now| {
+        let mut machines: Vec<&str> = w.runs.iter().map(|r| r.machine.as_str()).collect();
+        machines.sort();
+        machines.dedup();
+        record.note(&format!("tasks were started on {machines:?}"));
+        for id in &ids {
+            let done = w.done.get(*id).map_or(0, |d| d.len());
+            let runs = w.runs.iter().filter(|r| r.job == *id).count();
+            let good = w.runs.iter().filter(|r| r.job == *id && r.why != "error").count();
+            let text = format!(
+                "{id}: {done} of 4 tasks done after {} s; {runs} starts, {good} of them on a sound machine",
+                now / 1_000
+            );
+            record.note(&text);
+            if done < 4 {
+                broken.push(text);
+            }
+        }
+    });
+    Ok(broken)
+}
