Show the kept room with services, which never end

Review case 6, in place of the urgent job beside a gang: after a burst of production services small jobs wait beside free processors for good, not only for as long as a gang runs.

--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -17,7 +17,7 @@
 
 pub fn run(case: &str, record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
     match case {
-        "rank" => rank(record, scratch, program, trouble),
+        "service" => service(record, scratch, program, trouble),
         "sick" => sick(record, scratch, program, trouble),
         "tiny" => tiny(record, scratch, program, trouble),
         "chaos" => crate::chaos::chaos(record, scratch, program, trouble),
@@ -67,26 +67,21 @@
     broken
 }
 
-/// Urgent jobs come twice as often for some seconds. The one that came later does not fit beside a gang that runs;
-/// small jobs of the gang's rank do.
-fn rank(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
-    let c = start(&record, scratch, program, 1)?;
-    let urgent = |id: &str| spec(id, "opsdesk", "sweep", "urgent", 1, 30.0, 64.0, 3.0);
-    submit(&c, 0, &urgent("j-000001"), 3_000)?;
-    while c.poll(0, "j-000001").state == "queued" && record.now() < 15_000 {
-        sleep(300);
-    }
-    let mut gang = spec("j-000002", "opsdesk", "ensemble", "normal", 2, 20.0, 64.0, 150.0);
-    gang["OneZone"] = true.into();
-    submit(&c, 0, &gang, 150_000)?;
-    while c.poll(0, "j-000001").state != "done" || c.poll(0, "j-000002").state != "running" {
-        if record.now() > 18_000 {
-            return Err("the first jobs do not run".to_owned());
+/// Production services come three times as often for a moment. The last of them fits nowhere; small jobs do.
+fn service(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let c = start(&record, scratch, program, 2)?;
+    let services = ["j-000001", "j-000002", "j-000003"];
+    for (n, id) in services.iter().take(if trouble { 3 } else { 1 }).enumerate() {
+        let mut s = spec(id, "opsdesk", "standing", "prod", 3, 20.0, 29.0, 0.0);
+        s["Jobclass"] = "sealwatch".into();
+        submit(&c, n, &s, u64::MAX)?;
+        // The first one is there before the others come.
+        while n == 0 && c.poll(0, id).state != "running" {
+            if record.now() > 15_000 {
+                return Err("the first service does not run".to_owned());
+            }
+            sleep(300);
         }
-        sleep(300);
-    }
-    if trouble {
-        submit(&c, 1, &urgent("j-000009"), 3_000)?;
     }
     sleep(500);
     c.troubles_over();
