Show that a team's guarantee is not given back to it

Review case 4: services of one team that run beyond its guarantee keep another team's only job, a third of that team's guarantee, from ever starting.

--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -7,7 +7,7 @@
 
 use serde_json::Value;
 
-use crate::cluster::{Cluster, job, kind, selatferi, spec};
+use crate::cluster::{Cluster, job, kind, selatcargo, selatferi, spec};
 use crate::record::Recorder;
 
 pub type Outcome = Result<Vec<String>, String>;
@@ -19,6 +19,7 @@
     match case {
         "service" => service(record, scratch, program, trouble),
         "sick" => sick(record, scratch, program, trouble),
+        "guarantee" => guarantee(record, scratch, program, trouble),
         "tiny" => tiny(record, scratch, program, trouble),
         "chaos" => crate::chaos::chaos(record, scratch, program, trouble),
         "calm" => crate::calm::calm(record, scratch, program, trouble),
@@ -166,3 +167,61 @@
     });
     Ok(broken)
 }
+
+/// One team's services come twice as often and take more than its guarantee; then another team's service comes, within
+/// its own.
+fn guarantee(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    // Three machines in each of two zones: as many accelerators as the two teams are guaranteed.
+    let site = selatcargo(vec![kind("rampbay96", 96.0, 8.0, 384.0, 2_000, 3)]);
+    let c = Cluster::start(site, record.clone(), scratch, program);
+    if !c.wait_healthy(20_000) {
+        return Err("the controllers do not become healthy".to_owned());
+    }
+    let sealwatch = |id: &str, team: &str, replicas: u32| {
+        let mut s = spec(id, team, "standing", "prod", replicas, 8.0, 29.0, 0.0);
+        s["Jobclass"] = "sealwatch".into();
+        s["Cards"] = 1.0.into();
+        s
+    };
+    let borrowing = ["j-000001", "j-000002", "j-000003", "j-000004"];
+    let borrowing = &borrowing[..if trouble { 4 } else { 2 }];
+    for (n, id) in borrowing.iter().enumerate() {
+        submit(&c, n % 3, &sealwatch(id, "haulierdesk-0", 12), u64::MAX)?;
+    }
+    let running = |team: &str| {
+        c.fleet.with(|w, _| {
+            let of_team = |job: &str| w.jobs.get(job).is_some_and(|j| j.spec["Crew"] == team);
+            w.runs.iter().filter(|r| r.to.is_none() && of_team(&r.job)).count()
+        })
+    };
+    while running("haulierdesk-0") < 12 * borrowing.len() {
+        if record.now() > 19_000 {
+            return Err("the first team's services do not run".to_owned());
+        }
+        sleep(200);
+    }
+    c.troubles_over();
+    let id = "j-000011";
+    submit(&c, 1, &sealwatch(id, "haulierdesk-1", 8), u64::MAX)?;
+    let accepted = record.now();
+    while running("haulierdesk-1") == 0 && record.now() < accepted + 92_000 {
+        sleep(1_000);
+        c.watch_processes();
+        if (record.now() / 1_000).is_multiple_of(5) {
+            c.poll((record.now() / 5_000 % 3) as usize, id);
+        }
+    }
+    let waited = (record.now() - accepted) as f64 / 1e3;
+    let (borrowed, own) = (running("haulierdesk-0"), running("haulierdesk-1"));
+    record.note(&format!(
+        "after {waited:.1} s haulierdesk-0 uses {borrowed} of its guarantee of 24, haulierdesk-1 {own} of 24"
+    ));
+    let mut broken = c.violations();
+    if own == 0 && borrowed > 24 {
+        broken.push(format!(
+            "{id} of 8 accelerators, all that haulierdesk-1 asks of its 24, waits for {waited:.1} s; haulierdesk-0 uses \
+             {borrowed}, guaranteed 24"
+        ));
+    }
+    Ok(broken)
+}
--- a/review/rig-2/src/cluster.rs
+++ b/review/rig-2/src/cluster.rs
@@ -24,6 +24,8 @@
     pub kinds: Vec<Kind>,
     /// Name, and limits of processors and accelerators.
     pub teams: Vec<(&'static str, f64, f64)>,
+    /// Processors and accelerators that each team is guaranteed.
+    pub guaranteed: (f64, f64),
     pub report_s: f64,
     pub lease_s: f64,
     pub gang_wait_s: f64,
@@ -49,6 +51,7 @@
         zones: vec!["klang"],
         kinds,
         teams: vec![("opsdesk", 0.0, 0.0)],
+        guaranteed: (0.0, 0.0),
         report_s: 2.5,
         lease_s: 14.0,
         gang_wait_s: 45.0,
@@ -66,6 +69,30 @@
     }
 }
 
+/// The freight line's deployment, at the size of its site file's `small`.
+pub fn selatcargo(kinds: Vec<Kind>) -> Site {
+    Site {
+        zones: vec!["pasirgudang", "batuampar"],
+        teams: vec![("haulierdesk-0", 0.0, 72.0), ("haulierdesk-1", 0.0, 72.0)],
+        guaranteed: (0.0, 24.0),
+        report_s: 4.0,
+        lease_s: 28.0,
+        gang_wait_s: 30.0,
+        gang_peer_s: 6.0,
+        cancel_s: 53.0,
+        state_rps: 250.0,
+        write_rps: 100.0,
+        value_kb: 16.0,
+        txn_ops: 32,
+        cloud_rps: 6.0,
+        list_lag_s: 8.0,
+        sockets: 1800,
+        wait_aims: vec![("sealwatch", 8.0, 0.88)],
+        startup_s: Some(60.0),
+        ..selatferi(kinds)
+    }
+}
+
 pub fn kind(name: &str, cpus: f64, cards: f64, memory_gb: f64, boot_ms: u64, capacity: usize) -> Kind {
     Kind { name: name.to_owned(), cpus, cards, memory_gb, boot_ms, capacity, spot_capacity: 0 }
 }
@@ -194,7 +221,8 @@
             text += &format!("[params]\nnodes = {n}\nzones = {:?}\nclock_off_ms = 1000.0\n", site.zones);
             for (name, cpus, gpus) in &site.teams {
                 text += &format!(
-                    "[[params.teams]]\nname = \"{name}\"\ncpus = 0.0\ncpus_max = {cpus:?}\ngpus = 0.0\ngpus_max = {gpus:?}\n"
+                    "[[params.teams]]\nname = \"{name}\"\ncpus = {:?}\ncpus_max = {cpus:?}\ngpus = {:?}\ngpus_max = {gpus:?}\n",
+                    site.guaranteed.0, site.guaranteed.1
                 );
             }
             for (class, within, share) in &site.wait_aims {
