--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -20,6 +20,7 @@
         "service" => service(record, scratch, program, trouble),
         "sick" => sick(record, scratch, program, trouble),
         "guarantee" => guarantee(record, scratch, program, trouble),
+        "guest" => guest(record, scratch, program, trouble),
         "tiny" => tiny(record, scratch, program, trouble),
         "chaos" => crate::chaos::chaos(record, scratch, program, trouble),
         "calm" => crate::calm::calm(record, scratch, program, trouble),
@@ -225,3 +226,46 @@
     }
     Ok(broken)
 }
+
+/// A guest team's service of the lowest rank fills the machines; then the operator's own urgent gangs come.
+fn guest(record: Arc<Recorder>, scratch: &Path, program: &[String], trouble: bool) -> Outcome {
+    let mut site = selatferi(vec![kind("hull64", 64.0, 0.0, 512.0, 2_000, 2)]);
+    site.teams = vec![("opsdesk", 0.0, 0.0), ("routeplan", 0.0, 0.0)];
+    let c = Cluster::start(site, record.clone(), scratch, program);
+    if !c.wait_healthy(20_000) {
+        return Err("the controllers do not become healthy".to_owned());
+    }
+    if trouble {
+        let mut s = spec("j-000001", "routeplan", "standing", "idle", 4, 30.0, 100.0, 0.0);
+        s["Jobclass"] = "wakesim".into();
+        submit(&c, 0, &s, u64::MAX)?;
+        while c.poll(0, "j-000001").state != "running" {
+            if record.now() > 17_000 {
+                return Err("the guest's job does not run".to_owned());
+            }
+            sleep(300);
+        }
+        sleep(1_000);
+    }
+    let ids = ["j-000011", "j-000012"];
+    for (n, id) in ids.iter().enumerate() {
+        let mut s = spec(id, "opsdesk", "ensemble", "urgent", 1, 30.0, 128.0, 5.0);
+        s["Jobclass"] = "seatlock".into();
+        s["OneZone"] = true.into();
+        submit(&c, n, &s, 5_000)?;
+    }
+    let accepted = record.now();
+    let mut broken = watch(&c, &ids, 93_000);
+    let waited = (record.now() - accepted) as f64 / 1e3;
+    c.fleet.with(|w, _| {
+        let guests = w.runs.iter().filter(|r| r.job == "j-000001" && r.to.is_none()).count();
+        for id in ids {
+            if !w.runs.iter().any(|r| r.job == id) {
+                broken.push(format!(
+                    "{id}, urgent, waits for {waited:.1} s, while {guests} tasks of a guest run at rank idle"
+                ));
+            }
+        }
+    });
+    Ok(broken)
+}
